Add the design page, the workspace and the shared types

Cause: the repository is empty, and parallel work needs fixed interfaces. Change: docs/design.md with requirements, readings and mechanisms; the npm workspace with eight packages; resource vectors, plan splitting, keys, result codes; zod schemas of all HTTP messages and of the settings.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,12 @@
+import neostandard from 'neostandard'
+
+export default [
+  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  ...neostandard({ ts: true }),
+  {
+    files: ['**/*.ts'],
+    rules: {
+      '@typescript-eslint/no-explicit-any': 'error'
+    }
+  }
+]
--- /dev/null
+++ b/packages/coordination/src/index.ts
@@ -0,0 +1,3 @@
+export * from './attempt.js'
+export * from './clock.js'
+export * from './loans.js'
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,6 @@
+export * from './caller-api.js'
+export * from './common-schemas.js'
+export * from './operator-api.js'
+export * from './platform-api.js'
+export * from './settings.js'
+export * from './target-api.js'
--- /dev/null
+++ b/packages/state/src/hash.ts
@@ -0,0 +1,18 @@
+/**
+ * Hashes a text with 32-bit FNV-1a. All instances must compute the same value for a text,
+ * since the split of limits and the choice of a customer's home depend on it.
+ *
+ * @returns an unsigned 32-bit number
+ */
+export function hashText (text: string): number {
+  let hash = 0x811c9dc5
+  for (let i = 0; i < text.length; i++) {
+    hash ^= text.charCodeAt(i)
+    hash = Math.imul(hash, 0x01000193)
+  }
+  // FNV-1a alone leaves the high bits of short, similar texts nearly equal.
+  hash ^= hash >>> 16
+  hash = Math.imul(hash, 0x85ebca6b)
+  hash ^= hash >>> 13
+  return hash >>> 0
+}
--- /dev/null
+++ b/packages/state/src/target.ts
@@ -0,0 +1,32 @@
+import { type Demand } from './resources.js'
+
+/** A target as the platform's instance list describes it. */
+export interface TargetDescription {
+  readonly id: string
+  /** `IP:PORT` of the target's API. */
+  readonly address: string
+  readonly domain: string
+  readonly state: 'live' | 'leaving'
+  readonly slots: number
+  /** Connections that the target accepts from all instances together. */
+  readonly connections: number
+  /** What the target has for its tasks in all. */
+  readonly capacity: Demand
+}
+
+/** An entry instance as the platform's instance list describes it. */
+export interface InstanceDescription {
+  readonly domain: string
+  readonly seat: number
+  /** `IP:PORT` of the peer API. */
+  readonly peerAddress: string
+  /** `IP:PORT` of the caller API. */
+  readonly callerAddress: string
+  readonly state: 'live' | 'leaving'
+}
+
+/** The platform's list; it lags behind reality. */
+export interface InstanceList {
+  readonly instances: readonly InstanceDescription[]
+  readonly targets: readonly TargetDescription[]
+}
