--- /dev/null
+++ b/packages/protocol/src/peer-api.ts
@@ -0,0 +1,97 @@
+import { z } from 'zod'
+import { type JobState, type ResultError, resultCodes, type ResultCodeName } from '@sesamereel/state'
+import { jobSpecSchema, maxWaitMs } from './caller-api.js'
+import { addressSchema, amountSchema, domainNameSchema, nameSchema, resourceVectorSchema, traceparentSchema } from './common-schemas.js'
+
+/** Longest time in milliseconds that one peer request waits for an answer; longer waits are made of several requests. */
+export const maxPeerWaitMs = 2_000
+
+/** `DOMAIN.SEAT`. */
+export const seatNameSchema = z.string().regex(/^[a-z0-9-]{1,40}\.\d{1,4}$/, 'expected DOMAIN.SEAT')
+
+/** What one instance tells another about itself, in a heartbeat and in the reply to one. */
+export const heartbeatSchema = z.object({
+  domain: domainNameSchema,
+  seat: z.int().min(0),
+  /** Generation of the sender's claim of its seat; 0 while the seat is not claimed. */
+  generation: z.int().min(0),
+  incarnation: z.string().min(1).max(32),
+  state: z.enum(['alive', 'leaving']),
+  peerAddress: addressSchema,
+  callerAddress: addressSchema,
+  configurationVersion: z.int().min(0),
+  /** Hash of the topology in the sender's settings; a difference is reported in the status. */
+  topologyHash: z.int().min(0),
+  /** Queued tasks of each customer. */
+  queuedByCustomer: z.record(z.string(), z.int().min(0)),
+  /** Targets that the sender does not use because of failures. */
+  ejectedTargets: z.array(z.string()),
+  /** Newest known generation of each seat, by `DOMAIN.SEAT`. */
+  seatGenerations: z.record(seatNameSchema, z.int().min(0))
+})
+
+export type HeartbeatMessage = z.output<typeof heartbeatSchema>
+
+export const peerSubmitJobSchema = z.object({
+  spec: jobSpecSchema,
+  waitMs: z.int().min(0).max(maxWaitMs),
+  traceparent: traceparentSchema.optional()
+})
+
+/** Customers that the caller's token may act for. */
+export const allowedCustomersSchema = z.union([z.literal('*'), z.array(nameSchema)])
+
+export type AllowedCustomers = '*' | readonly string[]
+
+export const peerFetchJobSchema = z.object({
+  key: z.string().max(100),
+  customers: allowedCustomersSchema,
+  waitMs: z.int().min(0).max(maxWaitMs),
+  traceparent: traceparentSchema.optional()
+})
+
+export const peerCancelJobSchema = peerFetchJobSchema.omit({ waitMs: true })
+
+export const loanRequestSchema = z.object({
+  loanId: z.string().min(1).max(100),
+  resource: z.string().min(1).max(200),
+  amount: resourceVectorSchema
+})
+
+export const loanGrantSchema = z.object({
+  loanId: z.string(),
+  amount: resourceVectorSchema,
+  termMs: amountSchema
+})
+
+export const borrowSchema = z.object({ peer: seatNameSchema, requests: z.array(loanRequestSchema).max(10_000) })
+
+export const borrowReplySchema = z.array(loanGrantSchema)
+
+export const returnLoansSchema = z.object({ peer: seatNameSchema, loanIds: z.array(z.string().max(100)).max(10_000) })
+
+export const resultErrorSchema = z.object({
+  code: z.int(),
+  name: z.custom<ResultCodeName>(value => typeof value === 'string' && Object.hasOwn(resultCodes, value), 'expected the name of a result code'),
+  title: z.string(),
+  message: z.string(),
+  hint: z.string(),
+  field: z.string().optional(),
+  notRun: z.boolean()
+})
+
+/** Reply to a request about a job. */
+export type JobReply =
+  | { readonly kind: 'state', readonly state: JobState }
+  | { readonly kind: 'refused', readonly error: ResultError }
+
+/** Reply to a request for keys. */
+export type IssueReply =
+  | { readonly kind: 'issued', readonly keys: readonly string[], readonly expiresInMs: number }
+  | { readonly kind: 'refused', readonly error: ResultError }
+
+export type PeerSubmitJob = z.output<typeof peerSubmitJobSchema>
+export type PeerFetchJob = z.output<typeof peerFetchJobSchema>
+export type PeerCancelJob = z.output<typeof peerCancelJobSchema>
+export type BorrowMessage = z.output<typeof borrowSchema>
+export type ReturnLoansMessage = z.output<typeof returnLoansSchema>
