--- /dev/null
+++ b/packages/protocol/src/problems.ts
@@ -0,0 +1,107 @@
+import { type z } from 'zod'
+
+/** One thing that is wrong with an input. */
+export interface Problem {
+  /** Path of the field, such as `tasks[3].demand.processors`; empty for the whole input. */
+  readonly path: string
+  /** The value that was found, shortened. */
+  readonly found: string
+  readonly expected: string
+}
+
+/** Longest part of a found value that is repeated in a message. */
+const maxFoundLength = 80
+
+/**
+ * Lists everything that a schema found wrong with an input.
+ *
+ * @param error - result of the schema
+ * @param input - the value that was checked
+ * @returns at least one problem, in the order of the schema
+ */
+export function listProblems (error: z.ZodError, input: unknown): readonly Problem[] {
+  return error.issues.flatMap(issue => convertIssue(issue, input))
+}
+
+/**
+ * Formats a problem as one line.
+ *
+ * @returns path, value found and what was expected
+ */
+export function formatProblem (problem: Problem): string {
+  return `${problem.path === '' ? 'the input' : problem.path}: found ${problem.found}, expected ${problem.expected}`
+}
+
+/**
+ * Formats a value for a message.
+ *
+ * @returns JSON, shortened
+ */
+export function formatFound (value: unknown): string {
+  if (value === undefined) return 'nothing'
+  if (Array.isArray(value) && value.length > 10) return `a list of ${value.length}`
+  let text: string
+  try {
+    text = typeof value === 'number' ? String(value) : JSON.stringify(value) ?? typeof value
+  } catch {
+    text = typeof value
+  }
+  return text.length > maxFoundLength ? `${text.slice(0, maxFoundLength)}...` : text
+}
+
+/**
+ * Formats a path of a schema issue.
+ *
+ * @returns names joined by dots, indexes in brackets
+ */
+export function formatPath (path: readonly PropertyKey[]): string {
+  let text = ''
+  for (const part of path) {
+    if (typeof part === 'number') text += `[${part}]`
+    else text += text === '' ? String(part) : `.${String(part)}`
+  }
+  return text
+}
+
+function convertIssue (issue: z.core.$ZodIssue, input: unknown): Problem[] {
+  const path = formatPath(issue.path)
+  const value = findValue(input, issue.path)
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => ({ path: formatPath([...issue.path, key]), found: formatFound(findValue(value, [key])), expected: 'no field of this name' }))
+  }
+  if (issue.code === 'invalid_key') {
+    const name = issue.path.at(-1)
+    return [{ path, found: `the name ${formatFound(typeof name === 'symbol' ? '' : name)}`, expected: issue.issues.map(describeExpected).join(' and ') }]
+  }
+  return [{ path, found: formatFound(value), expected: describeExpected(issue) }]
+}
+
+function describeExpected (issue: z.core.$ZodIssue): string {
+  switch (issue.code) {
+    case 'invalid_type': return `${issue.expected}`
+    case 'invalid_value': return issue.values.map(value => JSON.stringify(value)).join(' or ')
+    case 'too_small': return `at least ${issue.minimum}${describeUnit(issue.origin)}`
+    case 'too_big': return `at most ${issue.maximum}${describeUnit(issue.origin)}`
+    case 'invalid_union': return issue.errors.map(branch => branch.map(describeExpected).join(' and ')).filter(text => text !== '').join(' or ') || stripPrefix(issue.message)
+    default: return stripPrefix(issue.message)
+  }
+}
+
+function describeUnit (origin: string): string {
+  if (origin === 'string') return ' characters'
+  if (origin === 'array') return ' elements'
+  return ''
+}
+
+function stripPrefix (message: string): string {
+  return message.replace(/^expected /, '')
+}
+
+function findValue (input: unknown, path: readonly PropertyKey[]): unknown {
+  let value = input
+  for (const part of path) {
+    if (typeof value !== 'object' || value === null || !Object.hasOwn(value, part)) return undefined
+    value = (value as Record<PropertyKey, unknown>)[part]
+  }
+  return value
+}
--- /dev/null
+++ b/packages/transport/src/json-body.ts
@@ -0,0 +1,79 @@
+import { type IncomingMessage } from 'node:http'
+import { formatFound, formatPath } from '@sesamereel/protocol'
+import { createRequestError } from './request-error.js'
+
+/** Deepest nesting of a body; deeper values overflow the stack of JSON.stringify. */
+const maxNesting = 100
+
+/** Bytes of bodies that all requests together may hold, so that large bodies can't exhaust the memory. */
+const maxBufferedBytes = 256 * 1024 * 1024
+
+let bufferedBytes = 0
+
+/**
+ * Reads and parses the JSON body of a request.
+ *
+ * @param request - the request
+ * @param maxBytes - largest body
+ * @returns the parsed value
+ * @throws RequestError for a body that is too large, not UTF-8, not JSON, too deep or has a number beyond the range
+ */
+export async function readJsonBody (request: IncomingMessage, maxBytes: number): Promise<unknown> {
+  const declared = Number(request.headers['content-length'] ?? 0)
+  if (declared > maxBytes) throw createRequestError('JobTooLarge', `the body has ${declared} bytes, at most ${maxBytes} are allowed`, 'body')
+  const text = await readText(request, maxBytes)
+  let value: unknown
+  try {
+    value = JSON.parse(text)
+  } catch (error) {
+    throw createRequestError('MalformedRequest', `the body is not valid JSON: ${error instanceof Error ? error.message : String(error)}`, 'body')
+  }
+  checkValues(value)
+  return value
+}
+
+async function readText (request: IncomingMessage, maxBytes: number): Promise<string> {
+  const chunks: Buffer[] = []
+  let length = 0
+  let counted = 0
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      length += chunk.length
+      if (length > maxBytes) throw createRequestError('JobTooLarge', `the body has more than ${maxBytes} bytes`, 'body')
+      if (bufferedBytes + chunk.length > maxBufferedBytes) throw createRequestError('QueueFull', `the bodies of all requests together hold more than ${maxBufferedBytes} bytes`, 'body')
+      bufferedBytes += chunk.length
+      counted += chunk.length
+      chunks.push(chunk)
+    }
+    return new TextDecoder('utf-8', { fatal: true }).decode(Buffer.concat(chunks))
+  } catch (error) {
+    if (error instanceof TypeError) throw createRequestError('MalformedRequest', 'the body is not valid UTF-8', 'body')
+    throw error
+  } finally {
+    bufferedBytes -= counted
+  }
+}
+
+/** Walks the value with an own stack, since recursion would overflow on what it must find. */
+function checkValues (root: unknown): void {
+  const stack: Array<{ readonly value: unknown, readonly path: readonly PropertyKey[] }> = [{ value: root, path: [] }]
+  while (stack.length > 0) {
+    const { value, path } = stack.pop()!
+    if (typeof value === 'number' && !Number.isFinite(value)) {
+      throw createRequestError('MalformedRequest', `${formatPath(path)}: found a number beyond the range of a double, expected a finite number`, formatPath(path))
+    }
+    if (typeof value !== 'object' || value === null) continue
+    if (path.length >= maxNesting) {
+      throw createRequestError('MalformedRequest', `the body is nested deeper than ${maxNesting} levels, near ${formatFound(formatPath(path))}`, formatPath(path.slice(0, 4)))
+    }
+    if (Array.isArray(value)) {
+      for (let index = 0; index < value.length; index++) {
+        if (typeof value[index] === 'object' || typeof value[index] === 'number') stack.push({ value: value[index], path: [...path, index] })
+      }
+    } else {
+      for (const [name, child] of Object.entries(value)) {
+        if (typeof child === 'object' || typeof child === 'number') stack.push({ value: child, path: [...path, name] })
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/transport/src/platform-client.ts
@@ -0,0 +1,167 @@
+import { randomUUID } from 'node:crypto'
+import { isDeepStrictEqual } from 'node:util'
+import { instanceListSchema, readRowsReplySchema, type Row, type RowKey, type Transact, transactReplySchema } from '@sesamereel/protocol'
+import { type InstanceList } from '@sesamereel/state'
+import { ConnectionPool } from './connection-pool.js'
+import { type ExchangeObserver } from './exchange-observer.js'
+import { type ExchangeResult, type HttpRequest } from './exchange.js'
+
+/** Time in milliseconds that the platform has for one reply; a synced write takes several. */
+export const platformDeadlineMs = 1_000
+
+/** Tries of one transaction; each but the first is preceded by a read of the rows. */
+const transactTries = 3
+
+/** Connections of one instance to the platform. */
+const platformConnections = 8
+
+export type Checks = Transact['checks']
+export type Writes = Transact['writes']
+
+/** Result of a transaction. `failed` proves that nothing was written. */
+export type TransactResult =
+  | { readonly kind: 'committed', readonly rows: readonly Row[] }
+  | { readonly kind: 'conflict', readonly rows: readonly Row[] }
+  | { readonly kind: 'failed', readonly message: string }
+  | { readonly kind: 'unknown', readonly message: string }
+
+/** Result of a read; the message says why there is none. */
+export type ReadResult<T> =
+  | { readonly kind: 'found', readonly value: T }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'unavailable', readonly message: string }
+
+/** The platform's table service, instance list and object store. */
+export class PlatformClient {
+  readonly #pool: ConnectionPool
+  readonly #observer: ExchangeObserver
+  readonly #lists = new Map<string, { readonly etag: string | undefined, readonly list: InstanceList }>()
+
+  constructor (address: string, observer: ExchangeObserver) {
+    this.#pool = new ConnectionPool({ address, maxConnections: platformConnections, reserved: 0 })
+    this.#observer = observer
+  }
+
+  /**
+   * Writes rows when all checks hold. After a lost reply the rows are read back, and the
+   * transaction is sent again only while the checks still hold, so it takes effect at most once.
+   *
+   * @param checks - versions that the rows must have; every written row must be checked
+   * @param writes - values to write
+   * @returns what became of the transaction
+   */
+  async transact (checks: Checks, writes: Writes): Promise<TransactResult> {
+    const body = JSON.stringify({ attemptId: randomUUID(), checks, writes } satisfies Transact)
+    let maybeSent = false
+    let message = ''
+    for (let tries = 0; tries < transactTries; tries++) {
+      const result = await this.#send('transact', { method: 'POST', path: '/tables/transact', body })
+      const reply = result.kind === 'replied' ? parseJson(transactReplySchema, result.text) : undefined
+      if (reply?.committed === true) return { kind: 'committed', rows: reply.rows }
+      if (reply !== undefined && !maybeSent) return { kind: 'conflict', rows: reply.rows }
+      if (reply === undefined) message = describeFailure(result)
+      // Status 503 says that the service did not handle the request.
+      if (reply === undefined && result.kind !== 'not-sent' && !(result.kind === 'replied' && result.status === 503)) maybeSent = true
+      if (!maybeSent) continue
+      const judged = await this.#judgeLostWrite(checks, writes)
+      if (judged !== undefined) return judged
+    }
+    return maybeSent ? { kind: 'unknown', message } : { kind: 'failed', message }
+  }
+
+  /**
+   * Reads rows; a row that does not exist has version 0.
+   *
+   * @param rows - rows to read
+   * @returns the rows in the same order
+   */
+  async readRows (rows: readonly RowKey[]): Promise<ReadResult<readonly Row[]>> {
+    const result = await this.#send('read', { method: 'POST', path: '/tables/read', body: JSON.stringify({ rows }) })
+    const reply = result.kind === 'replied' && result.status === 200 ? parseJson(readRowsReplySchema, result.text) : undefined
+    if (reply === undefined || reply.rows.length !== rows.length) return { kind: 'unavailable', message: describeFailure(result) }
+    return { kind: 'found', value: reply.rows }
+  }
+
+  /**
+   * Reads the instance list as a failure domain sees it: all instances, and the domain's targets.
+   *
+   * @param domain - the own failure domain
+   * @returns the list; the one read before when it is unchanged
+   */
+  async readInstances (domain: string): Promise<ReadResult<InstanceList>> {
+    const known = this.#lists.get(domain)
+    const headers: Record<string, string> = known?.etag === undefined ? {} : { 'if-none-match': known.etag }
+    const result = await this.#send('instances', { method: 'GET', path: `/instances?domain=${encodeURIComponent(domain)}`, headers })
+    if (result.kind === 'replied' && result.status === 304 && known !== undefined) return { kind: 'found', value: known.list }
+    const list = result.kind === 'replied' && result.status === 200 ? parseJson(instanceListSchema, result.text) : undefined
+    if (list === undefined) return { kind: 'unavailable', message: describeFailure(result) }
+    this.#lists.set(domain, { etag: result.kind === 'replied' ? result.etag : undefined, list })
+    return { kind: 'found', value: list }
+  }
+
+  /**
+   * Stores an object under a name.
+   *
+   * @returns whether the store confirmed it; storing the same object again is harmless
+   */
+  async storeObject (name: string, content: unknown): Promise<boolean> {
+    const result = await this.#send('put-object', { method: 'PUT', path: `/objects/${encodeURIComponent(name)}`, body: JSON.stringify(content) })
+    return result.kind === 'replied' && result.status >= 200 && result.status < 300
+  }
+
+  /**
+   * Reads an object.
+   *
+   * @returns the parsed object, absent when there is none
+   */
+  async readObject (name: string): Promise<ReadResult<unknown>> {
+    const result = await this.#send('get-object', { method: 'GET', path: `/objects/${encodeURIComponent(name)}` })
+    if (result.kind === 'replied' && result.status === 404) return { kind: 'absent' }
+    if (result.kind !== 'replied' || result.status !== 200) return { kind: 'unavailable', message: describeFailure(result) }
+    try {
+      return { kind: 'found', value: JSON.parse(result.text) }
+    } catch {
+      return { kind: 'unavailable', message: `the object ${JSON.stringify(name)} is not valid JSON` }
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.#pool.close()
+  }
+
+  /** Decides a write whose reply was lost; undefined while it may be sent again. */
+  async #judgeLostWrite (checks: Checks, writes: Writes): Promise<TransactResult | undefined> {
+    const read = await this.readRows(writes.map(({ table, key }) => ({ table, key })))
+    if (read.kind !== 'found') return undefined
+    const rows = read.value
+    const findChecked = (row: Row): number | undefined => checks.find(check => check.table === row.table && check.key === row.key)?.version
+    if (rows.every((row, index) => row.version === (findChecked(row) ?? -1) + 1 && isDeepStrictEqual(row.value, writes[index]!.value))) {
+      return { kind: 'committed', rows }
+    }
+    if (rows.every(row => row.version === findChecked(row))) return undefined
+    // The next version after the checked one holds another value: the checks can never hold again.
+    if (rows.some((row, index) => row.version === (findChecked(row) ?? -1) + 1 && !isDeepStrictEqual(row.value, writes[index]!.value))) {
+      return { kind: 'conflict', rows }
+    }
+    return { kind: 'unknown', message: 'the reply was lost and the rows were written again since' }
+  }
+
+  async #send (operation: string, request: HttpRequest): Promise<ExchangeResult> {
+    const result = await this.#pool.send(request, { deadlineMs: platformDeadlineMs }).result
+    this.#observer.observeExchange('platform', operation, result.kind)
+    return result
+  }
+}
+
+function parseJson<T> (schema: { safeParse: (value: unknown) => { success: true, data: T } | { success: false } }, text: string): T | undefined {
+  try {
+    const parsed = schema.safeParse(JSON.parse(text))
+    return parsed.success ? parsed.data : undefined
+  } catch {
+    return undefined
+  }
+}
+
+function describeFailure (result: ExchangeResult): string {
+  return result.kind === 'replied' ? `unexpected reply with status ${result.status}` : result.message
+}
