--- /dev/null
+++ b/packages/transport/src/api-server.ts
@@ -0,0 +1,39 @@
+import Router from '@koa/router'
+import Koa from 'koa'
+import { createErrorMiddleware } from './api-errors.js'
+import { type CallerService, type MonitorService, type OperatorService } from './api-services.js'
+import { addCallerRoutes } from './caller-routes.js'
+import { HttpListener, type ListenerLimits } from './http-listener.js'
+import { addMonitorRoutes } from './monitor-routes.js'
+import { addOperatorRoutes } from './operator-routes.js'
+import { type Role } from './request-context.js'
+import { type TokenMatcher } from './token-matcher.js'
+
+export interface ApiServerOptions {
+  /** `IP:PORT` to listen on. */
+  readonly address: string
+  readonly tokens: TokenMatcher<Role>
+  readonly callers: CallerService
+  readonly operators: OperatorService
+  readonly monitor: MonitorService
+  readonly limits?: ListenerLimits
+}
+
+/**
+ * Creates the server for callers, operators and monitoring (docs/design.md, section 8).
+ *
+ * @returns the server; it accepts nothing before `listen`
+ */
+export function createApiServer (options: ApiServerOptions): HttpListener {
+  const app = new Koa()
+  const router = new Router()
+  addCallerRoutes(router, options.callers, options.tokens)
+  addOperatorRoutes(router, options.operators, options.tokens)
+  addMonitorRoutes(router, options.monitor, options.tokens)
+  app.use(createErrorMiddleware(options.monitor))
+  app.use(router.routes())
+  // Koa reports here only failures to write a response, such as a caller that hung up.
+  app.on('error', () => {})
+  const handle = app.callback()
+  return new HttpListener(options.address, (request, response) => { handle(request, response).catch(() => {}) }, options.limits)
+}
--- /dev/null
+++ b/packages/transport/src/caller-routes.ts
@@ -0,0 +1,72 @@
+import type Router from '@koa/router'
+import { issueKeysRequestSchema, type JobReply, jobSpecSchema, maxBodyBytes } from '@sesamereel/protocol'
+import { maxTasksPerJob } from '@sesamereel/state'
+import type Koa from 'koa'
+import { respondWithError } from './api-errors.js'
+import { type CallerService } from './api-services.js'
+import { readJsonBody } from './json-body.js'
+import { checkCustomer, checkKey, findCustomers, readTraceparent, readWait, type Role } from './request-context.js'
+import { createRequestError, parseInput } from './request-error.js'
+import { type TokenMatcher } from './token-matcher.js'
+
+/** Largest body in bytes of a request for keys. */
+const maxKeysBodyBytes = 4 * 1024
+
+/**
+ * Adds the endpoints of callers.
+ *
+ * @param router - router of the API server
+ * @param service - carries out the requests
+ * @param tokens - tokens of callers and operators
+ */
+export function addCallerRoutes (router: Router, service: CallerService, tokens: TokenMatcher<Role>): void {
+  router.post('/v1/keys', async ctx => {
+    const customers = findCustomers(ctx, tokens)
+    const request = parseInput(issueKeysRequestSchema, await readJsonBody(ctx.req, maxKeysBodyBytes))
+    checkCustomer(customers, request.customer)
+    const reply = await service.issueKeys(request, readTraceparent(ctx))
+    if (reply.kind === 'refused') respondWithError(ctx, reply.error)
+    else ctx.body = { keys: reply.keys, expiresInMs: reply.expiresInMs }
+  })
+
+  router.post('/v1/jobs', async ctx => {
+    const customers = findCustomers(ctx, tokens)
+    const waitMs = readWait(ctx)
+    const body = await readJsonBody(ctx.req, maxBodyBytes)
+    checkTaskCount(body)
+    const spec = parseInput(jobSpecSchema, body)
+    checkKey(spec.key, 'key')
+    checkCustomer(customers, spec.customer)
+    respondWithReply(ctx, await service.submitJob(spec, waitMs, readTraceparent(ctx)))
+  })
+
+  router.get('/v1/jobs/:key', async ctx => {
+    const customers = findCustomers(ctx, tokens)
+    const waitMs = readWait(ctx)
+    const key = checkKey(String(ctx.params['key']), 'key')
+    respondWithReply(ctx, await service.fetchJob(key, customers, waitMs, readTraceparent(ctx)))
+  })
+
+  router.delete('/v1/jobs/:key', async ctx => {
+    const customers = findCustomers(ctx, tokens)
+    const key = checkKey(String(ctx.params['key']), 'key')
+    respondWithReply(ctx, await service.cancelJob(key, customers, readTraceparent(ctx)))
+  })
+}
+
+function respondWithReply (ctx: Koa.Context, reply: JobReply): void {
+  if (reply.kind === 'refused') {
+    respondWithError(ctx, reply.error)
+    return
+  }
+  ctx.status = reply.state.state === 'running' ? 202 : 200
+  ctx.body = reply.state
+}
+
+/** A job with too many tasks has its own code, and its tasks need not be checked. */
+function checkTaskCount (body: unknown): void {
+  const tasks = typeof body === 'object' && body !== null && 'tasks' in body ? body.tasks : undefined
+  if (Array.isArray(tasks) && tasks.length > maxTasksPerJob) {
+    throw createRequestError('JobTooLarge', `tasks: found ${tasks.length} tasks, expected at most ${maxTasksPerJob}`, 'tasks')
+  }
+}
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -72,6 +72,8 @@
   }
 
   abort (message: string): void {
+    // After the end the connection may already serve another exchange.
+    if (this.#settled) return
     this.#fail(message, false)
     this.#client.destroy().catch(() => {})
   }
--- /dev/null
+++ b/packages/transport/src/operator-routes.ts
@@ -0,0 +1,53 @@
+import type Router from '@koa/router'
+import { editRequestSchema, limitListSchema, listNameSchema, planListSchema } from '@sesamereel/protocol'
+import { respondWithError } from './api-errors.js'
+import { type ListEdit, type OperatorService } from './api-services.js'
+import { readJsonBody } from './json-body.js'
+import { checkOperator, type Role } from './request-context.js'
+import { parseInput } from './request-error.js'
+import { type TokenMatcher } from './token-matcher.js'
+
+/** Largest body in bytes of an edit. */
+const maxEditBytes = 4 * 1024 * 1024
+
+/**
+ * Adds the endpoints of operators.
+ *
+ * @param router - router of the API server
+ * @param service - carries out the requests
+ * @param tokens - tokens of callers and operators
+ */
+export function addOperatorRoutes (router: Router, service: OperatorService, tokens: TokenMatcher<Role>): void {
+  router.get('/v1/lists', async ctx => {
+    checkOperator(ctx, tokens)
+    ctx.body = await service.readLists()
+  })
+
+  router.put('/v1/lists/:list', async ctx => {
+    checkOperator(ctx, tokens)
+    const list = parseInput(listNameSchema, ctx.params['list'])
+    const { baseVersion, editId, content, dryRun } = parseInput(editRequestSchema, await readJsonBody(ctx.req, maxEditBytes))
+    const common = { baseVersion, editId, dryRun }
+    // The content is checked under its own name, so that the paths of its problems are whole.
+    const edit: ListEdit = list === 'plans'
+      ? { ...common, list, content: parseInput(contentSchemas.plans, { content }, 'ListInvalid').content }
+      : { ...common, list, content: parseInput(contentSchemas.limits, { content }, 'ListInvalid').content }
+    const reply = await service.editList(edit)
+    if (reply.kind === 'applied') {
+      ctx.body = { version: reply.version, changes: reply.changes, dryRun: reply.dryRun }
+      return
+    }
+    const extra = reply.version === undefined ? {} : { version: reply.version, changes: reply.changes ?? [] }
+    respondWithError(ctx, reply.error, extra)
+  })
+
+  router.get('/v1/status', ctx => {
+    checkOperator(ctx, tokens)
+    ctx.body = service.readStatus()
+  })
+}
+
+const contentSchemas = {
+  plans: editRequestSchema.pick({}).extend({ content: planListSchema }),
+  limits: editRequestSchema.pick({}).extend({ content: limitListSchema })
+}
--- /dev/null
+++ b/packages/transport/src/request-context.ts
@@ -0,0 +1,76 @@
+import { type AllowedCustomers, maxWaitMs, traceparentSchema } from '@sesamereel/protocol'
+import { parseKey } from '@sesamereel/state'
+import type Koa from 'koa'
+import { createRequestError } from './request-error.js'
+import { type TokenMatcher } from './token-matcher.js'
+
+/** What a bearer token allows. */
+export type Role =
+  | { readonly kind: 'caller', readonly customers: AllowedCustomers }
+  | { readonly kind: 'operator' }
+
+/**
+ * Finds the customers that the token of a request may act for.
+ *
+ * @throws RequestError without a caller's token
+ */
+export function findCustomers (ctx: Koa.Context, tokens: TokenMatcher<Role>): AllowedCustomers {
+  const role = tokens.matchHeader(ctx.get('authorization'))
+  if (role?.kind !== 'caller') throw createRequestError('Unauthorized', 'the request has no token of a caller', 'authorization')
+  return role.customers
+}
+
+/**
+ * Checks that a request has the operators' token.
+ *
+ * @throws RequestError without it
+ */
+export function checkOperator (ctx: Koa.Context, tokens: TokenMatcher<Role>): void {
+  if (tokens.matchHeader(ctx.get('authorization'))?.kind !== 'operator') throw createRequestError('Unauthorized', 'the request does not have the token of operators', 'authorization')
+}
+
+/**
+ * Checks that a token may act for a customer.
+ *
+ * @throws RequestError when it may not
+ */
+export function checkCustomer (customers: AllowedCustomers, customer: string): void {
+  if (customers !== '*' && !customers.includes(customer)) throw createRequestError('UnknownCustomer', `the token may not act for customer ${JSON.stringify(customer)}`, 'customer')
+}
+
+/**
+ * Checks the form of a key.
+ *
+ * @returns the key unchanged
+ * @throws RequestError for a text that no instance issues
+ */
+export function checkKey (key: string, field: string): string {
+  if (parseKey(key) === undefined) throw createRequestError('KeyMalformed', `${JSON.stringify(key.slice(0, 100))} does not have the form DOMAIN.SEAT.INCARNATION.SEQUENCE`, field)
+  return key
+}
+
+/**
+ * Reads the query parameter `waitMs`.
+ *
+ * @returns the wait in milliseconds, 0 when absent
+ * @throws RequestError for anything but one whole number in the range
+ */
+export function readWait (ctx: Koa.Context): number {
+  const { waitMs, ...others } = ctx.query
+  const unknown = Object.keys(others)[0]
+  if (unknown !== undefined) throw createRequestError('MalformedRequest', `found the query parameter ${JSON.stringify(unknown.slice(0, 80))}, expected only waitMs`, unknown.slice(0, 80))
+  if (waitMs === undefined) return 0
+  const value = typeof waitMs === 'string' && /^\d{1,6}$/.test(waitMs) ? Number(waitMs) : -1
+  if (value < 0 || value > maxWaitMs) throw createRequestError('MalformedRequest', `waitMs: found ${JSON.stringify(waitMs).slice(0, 80)}, expected a whole number from 0 to ${maxWaitMs}`, 'waitMs')
+  return value
+}
+
+/**
+ * Reads the W3C trace context; a malformed one is ignored, as the standard demands.
+ *
+ * @returns the header value, or undefined
+ */
+export function readTraceparent (ctx: Koa.Context): string | undefined {
+  const parsed = traceparentSchema.safeParse(ctx.get('traceparent'))
+  return parsed.success ? parsed.data : undefined
+}
