--- /dev/null
+++ b/packages/coordination/src/placement-early.ts
@@ -0,0 +1,69 @@
+import { type PlacementDecision, noPlacement, PlacementPolicy, type PlacementRequest, type PlacementView } from './placement-policy.js'
+import { type TargetState } from './target-state.js'
+
+/**
+ * Base of the policies that choose a target without regard to whether it is free. A task for
+ * a busy target waits there. They serve as the baseline of measurements.
+ */
+abstract class EarlyPlacement extends PlacementPolicy {
+  override selectTarget (request: PlacementRequest, view: PlacementView): PlacementDecision {
+    const candidates = view.listTargets().filter(target => target.isUsable(request.now) && target.isLargeEnough(request.demand))
+    const others = candidates.length > 1 ? candidates.filter(target => target.id !== request.avoidTargetId) : candidates
+    if (others.length === 0) return noPlacement
+    const target = this.pickTarget(others)
+    return { kind: target.bound.length === 0 && target.hasRoom(request.demand) ? 'start' : 'bind', target }
+  }
+
+  protected abstract pickTarget (candidates: readonly TargetState[]): TargetState
+}
+
+function countOutstanding (target: TargetState): number {
+  return target.running.size + target.bound.length
+}
+
+/** Any target with equal probability. */
+export class RandomPlacement extends EarlyPlacement {
+  override readonly name = 'random'
+
+  constructor (private readonly random: () => number) {
+    super()
+  }
+
+  protected override pickTarget (candidates: readonly TargetState[]): TargetState {
+    return candidates[Math.floor(this.random() * candidates.length)]!
+  }
+}
+
+/** Each target in turn. */
+export class RoundRobinPlacement extends EarlyPlacement {
+  override readonly name = 'round-robin'
+  private turn = 0
+
+  protected override pickTarget (candidates: readonly TargetState[]): TargetState {
+    return candidates[this.turn++ % candidates.length]!
+  }
+}
+
+/** The target with the fewest tasks of this instance, running or waiting. */
+export class LeastOutstandingPlacement extends EarlyPlacement {
+  override readonly name = 'least-outstanding'
+
+  protected override pickTarget (candidates: readonly TargetState[]): TargetState {
+    return candidates.reduce((best, target) => countOutstanding(target) < countOutstanding(best) ? target : best)
+  }
+}
+
+/** The less loaded of two targets that are drawn at random. */
+export class TwoChoicesPlacement extends EarlyPlacement {
+  override readonly name = 'two-choices'
+
+  constructor (private readonly random: () => number) {
+    super()
+  }
+
+  protected override pickTarget (candidates: readonly TargetState[]): TargetState {
+    const first = candidates[Math.floor(this.random() * candidates.length)]!
+    const second = candidates[Math.floor(this.random() * candidates.length)]!
+    return countOutstanding(second) < countOutstanding(first) ? second : first
+  }
+}
