Add the stand-ins for platform, targets, network and balancer

The project meets its outside systems through their protocols, so it needs stand-ins with fault switches. Targets and platform keep records as JSON lines, in a file when one is named, so that they survive a killed process. A link holds the bytes of a cut direction and delivers them afterwards; its first version never delivered the bytes of a connection opened during a cut, which the link test found.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,9 @@
-export {}
+export * from './balancer.js'
+export * from './http-server.js'
+export * from './network.js'
+export * from './network-link.js'
+export * from './platform.js'
+export * from './record-log.js'
+export * from './row-store.js'
+export * from './target.js'
+export * from './target-machine.js'
--- /dev/null
+++ b/packages/stand-ins/src/main.ts
@@ -0,0 +1,3 @@
+import { runProgram } from './program.js'
+
+await runProgram(process.argv.slice(2))
