Check wrong input on every endpoint and resolve edits with lost replies

The list editor writes both lists by compare-and-set; a lost reply is resolved from the rows of a refusal or by reading back.

--- a/packages/protocol/src/problems.ts
+++ b/packages/protocol/src/problems.ts
@@ -73,7 +73,9 @@
     const name = issue.path.at(-1)
     return [{ path, found: `the name ${formatFound(typeof name === 'symbol' ? '' : name)}`, expected: issue.issues.map(describeExpected).join(' and ') }]
   }
-  return [{ path, found: formatFound(value), expected: describeExpected(issue) }]
+  // Tokens must not reach logs or terminals.
+  const found = /token$/i.test(path) && typeof value === 'string' ? `a text of ${value.length} characters` : formatFound(value)
+  return [{ path, found, expected: describeExpected(issue) }]
 }
 
 function describeExpected (issue: z.core.$ZodIssue): string {
--- a/packages/transport/src/api-services.ts
+++ b/packages/transport/src/api-services.ts
@@ -1,5 +1,5 @@
 import { type AllowedCustomers, type IssueKeysRequest, type IssueReply, type JobReply, type ListName } from '@sesamereel/protocol'
-import { type JobSpec, type LimitList, type PlanList, type ResultError } from '@sesamereel/state'
+import { type Configuration, type JobSpec, type LimitList, type PlanList, type ResultError } from '@sesamereel/state'
 
 /** What an instance does for callers. Keys are parsed and customers are allowed by the token when it is called. */
 export abstract class CallerService {
@@ -37,18 +37,6 @@
   abstract cancelJob (key: string, customers: AllowedCustomers, traceparent: string | undefined): Promise<JobReply>
 }
 
-/** Both lists as operators read them. */
-export interface ListsReply {
-  readonly version: number
-  readonly editId: string
-  readonly plans: PlanList
-  readonly limits: LimitList
-  /** Version that this instance applies. */
-  readonly inForce: number
-  /** `store` for the newest committed version, `in-force` while the table service can't be reached. */
-  readonly source: 'store' | 'in-force'
-}
-
 /** A checked edit of one list. */
 export type ListEdit = { readonly baseVersion: number, readonly editId: string, readonly dryRun: boolean } & (
   | { readonly list: Extract<ListName, 'plans'>, readonly content: PlanList }
@@ -70,9 +58,9 @@
 /** What an instance does for operators. */
 export abstract class OperatorService {
   /**
-   * Reads both lists.
+   * Reads both lists: the newest committed version, or the one in force while the table service can't be reached.
    */
-  abstract readLists (): Promise<ListsReply>
+  abstract readLists (): Promise<Configuration>
 
   /**
    * Replaces one list by compare-and-set.
--- a/packages/transport/src/operator-routes.ts
+++ b/packages/transport/src/operator-routes.ts
@@ -25,7 +25,7 @@
 
   router.put('/v1/lists/:list', async ctx => {
     checkOperator(ctx, tokens)
-    const list = parseInput(listNameSchema, ctx.params['list'])
+    const { list } = parseInput(editPathSchema, { list: ctx.params['list'] })
     const { baseVersion, editId, content, dryRun } = parseInput(editRequestSchema, await readJsonBody(ctx.req, maxEditBytes))
     const common = { baseVersion, editId, dryRun }
     // The content is checked under its own name, so that the paths of its problems are whole.
@@ -47,6 +47,8 @@
   })
 }
 
+const editPathSchema = editRequestSchema.pick({}).extend({ list: listNameSchema })
+
 const contentSchemas = {
   plans: editRequestSchema.pick({}).extend({ content: planListSchema }),
   limits: editRequestSchema.pick({}).extend({ content: limitListSchema })
--- a/packages/transport/src/platform-client.ts
+++ b/packages/transport/src/platform-client.ts
@@ -63,7 +63,9 @@
       // Status 503 says that the service did not handle the request.
       if (reply === undefined && result.kind !== 'not-sent' && !(result.kind === 'replied' && result.status === 503)) maybeSent = true
       if (!maybeSent) continue
-      const judged = await this.#judgeLostWrite(checks, writes)
+      // Checks see the present rows, while a read may be stale, so the rows of a refusal come first.
+      const rows = reply?.rows ?? await this.#readWritten(writes)
+      const judged = rows === undefined ? undefined : judgeLostWrite(checks, writes, rows)
       if (judged !== undefined) return judged
     }
     return maybeSent ? { kind: 'unknown', message } : { kind: 'failed', message }
@@ -129,21 +131,9 @@
     await this.#pool.close()
   }
 
-  /** Decides a write whose reply was lost; undefined while it may be sent again. */
-  async #judgeLostWrite (checks: Checks, writes: Writes): Promise<TransactResult | undefined> {
+  async #readWritten (writes: Writes): Promise<readonly Row[] | undefined> {
     const read = await this.readRows(writes.map(({ table, key }) => ({ table, key })))
-    if (read.kind !== 'found') return undefined
-    const rows = read.value
-    const findChecked = (row: Row): number | undefined => checks.find(check => check.table === row.table && check.key === row.key)?.version
-    if (rows.every((row, index) => row.version === (findChecked(row) ?? -1) + 1 && isDeepStrictEqual(row.value, writes[index]!.value))) {
-      return { kind: 'committed', rows }
-    }
-    if (rows.every(row => row.version === findChecked(row))) return undefined
-    // The next version after the checked one holds another value: the checks can never hold again.
-    if (rows.some((row, index) => row.version === (findChecked(row) ?? -1) + 1 && !isDeepStrictEqual(row.value, writes[index]!.value))) {
-      return { kind: 'conflict', rows }
-    }
-    return { kind: 'unknown', message: 'the reply was lost and the rows were written again since' }
+    return read.kind === 'found' ? read.value : undefined
   }
 
   async #send (operation: string, request: HttpRequest): Promise<ExchangeResult> {
@@ -153,6 +143,21 @@
   }
 }
 
+/** Decides a write whose reply was lost; undefined while it may be sent again. */
+function judgeLostWrite (checks: Checks, writes: Writes, rows: readonly Row[]): TransactResult | undefined {
+  const isNext = (row: Row): boolean => checks.some(check => isSameRow(check, row) && row.version === check.version + 1)
+  const isOurs = (row: Row): boolean => writes.some(write => isSameRow(write, row) && isDeepStrictEqual(row.value, write.value))
+  if (rows.length === writes.length && rows.every(row => isNext(row) && isOurs(row))) return { kind: 'committed', rows }
+  // The version after the checked one holds another value: the checks can never hold again.
+  if (rows.some(row => isNext(row) && !isOurs(row))) return { kind: 'conflict', rows }
+  if (rows.every(row => checks.some(check => isSameRow(check, row) && row.version <= check.version))) return undefined
+  return { kind: 'unknown', message: 'the reply was lost and the rows were written again since' }
+}
+
+function isSameRow (a: RowKey, b: RowKey): boolean {
+  return a.table === b.table && a.key === b.key
+}
+
 function parseJson<T> (schema: { safeParse: (value: unknown) => { success: true, data: T } | { success: false } }, text: string): T | undefined {
   try {
     const parsed = schema.safeParse(JSON.parse(text))
