--- a/packages/entry/src/tracing.ts
+++ b/packages/entry/src/tracing.ts
@@ -10,6 +10,8 @@
 
 /** One span under way. */
 export interface OpenSpan {
+  /** Whether the span is kept; unsampled ones cost almost nothing. */
+  readonly isRecorded: boolean
   /** Trace context for the next hop. */
   readonly traceparent: string
   /**
@@ -46,7 +48,7 @@
   startSpan (name: string, role: SpanRole, traceparent: string | undefined, attributes: Attributes = {}): OpenSpan {
     const parent = traceparent === undefined ? context.active() : convertParent(traceparent)
     const span = this.#tracer.startSpan(name, { kind: role === 'server' ? SpanKind.SERVER : SpanKind.CLIENT, attributes }, parent)
-    return { traceparent: formatTraceparent(span), end: (failure, more) => { endSpan(span, failure, more) } }
+    return { isRecorded: span.isRecording(), traceparent: formatTraceparent(span), end: (failure, more) => { endSpan(span, failure, more) } }
   }
 
   /**
--- a/packages/transport/src/platform-client.ts
+++ b/packages/transport/src/platform-client.ts
@@ -132,6 +132,7 @@
   }
 
   async #readWritten (writes: Writes): Promise<readonly Row[] | undefined> {
+    if (writes.length === 0) return undefined
     const read = await this.readRows(writes.map(({ table, key }) => ({ table, key })))
     return read.kind === 'found' ? read.value : undefined
   }
