--- a/packages/protocol/src/peer-api.ts
+++ b/packages/protocol/src/peer-api.ts
@@ -1,3 +1,4 @@
+import { type Heartbeat, type HeartbeatReply } from '@sesamereel/coordination'
 import { z } from 'zod'
 import { type JobState, type ResultError, resultCodes, type ResultCodeName } from '@sesamereel/state'
 import { jobSpecSchema, maxWaitMs } from './caller-api.js'
@@ -9,28 +10,34 @@
 /** `DOMAIN.SEAT`. */
 export const seatNameSchema = z.string().regex(/^[a-z0-9-]{1,40}\.\d{1,4}$/, 'expected DOMAIN.SEAT')
 
-/** What one instance tells another about itself, in a heartbeat and in the reply to one. */
-export const heartbeatSchema = z.object({
+/** One holder of a seat. */
+export const seatHolderSchema = z.object({
+  /** 0 before the instance knows the holders before it. */
+  generation: z.int().min(0),
+  incarnation: z.string().min(1).max(32)
+})
+
+export const leavingMarkSchema = z.object({ id: z.string().max(200), epoch: z.string().max(200) })
+
+/** What one instance tells another about itself; see `Heartbeat`. */
+export const heartbeatSchema = seatHolderSchema.extend({
   domain: domainNameSchema,
   seat: z.int().min(0),
-  /** Generation of the sender's claim of its seat; 0 while the seat is not claimed. */
-  generation: z.int().min(0),
-  incarnation: z.string().min(1).max(32),
-  state: z.enum(['alive', 'leaving']),
   peerAddress: addressSchema,
   callerAddress: addressSchema,
+  state: z.enum(['starting', 'live', 'leaving']),
   configurationVersion: z.int().min(0),
-  /** Hash of the topology in the sender's settings; a difference is reported in the status. */
   topologyHash: z.int().min(0),
-  /** Queued tasks of each customer. */
   queuedByCustomer: z.record(z.string(), z.int().min(0)),
-  /** Targets that the sender does not use because of failures. */
   ejectedTargets: z.array(z.string()),
-  /** Newest known generation of each seat, by `DOMAIN.SEAT`. */
-  seatGenerations: z.record(seatNameSchema, z.int().min(0))
-})
-
-export type HeartbeatMessage = z.output<typeof heartbeatSchema>
+  leavingTargets: z.array(leavingMarkSchema),
+  holders: z.record(seatNameSchema, seatHolderSchema)
+}) satisfies z.ZodType<Heartbeat>
+
+export const heartbeatReplySchema = z.object({
+  heartbeat: heartbeatSchema,
+  seat: z.object({ newest: seatHolderSchema, settled: z.boolean() })
+}) satisfies z.ZodType<HeartbeatReply>
 
 export const peerSubmitJobSchema = z.object({
   spec: jobSpecSchema,
--- a/packages/protocol/src/peer-service.ts
+++ b/packages/protocol/src/peer-service.ts
@@ -1,7 +1,7 @@
 import { type Configuration } from '@sesamereel/state'
-import { type LoanGrant } from '@sesamereel/coordination'
+import { type Heartbeat, type HeartbeatReply, type LoanGrant } from '@sesamereel/coordination'
 import { type IssueKeysRequest } from './caller-api.js'
-import { type BorrowMessage, type HeartbeatMessage, type IssueReply, type JobReply, type PeerCancelJob, type PeerFetchJob, type PeerSubmitJob, type ReturnLoansMessage } from './peer-api.js'
+import { type BorrowMessage, type IssueReply, type JobReply, type PeerCancelJob, type PeerFetchJob, type PeerSubmitJob, type ReturnLoansMessage } from './peer-api.js'
 
 /** What an instance does for its peers. Implemented by the entry instance, called by the peer router. */
 export abstract class PeerService {
@@ -9,9 +9,9 @@
    * Takes a peer's heartbeat.
    *
    * @param heartbeat - what the peer says about itself
-   * @returns what this instance says about itself
+   * @returns what this instance says about itself and about the peer's seat
    */
-  abstract acceptHeartbeat (heartbeat: HeartbeatMessage): HeartbeatMessage
+  abstract acceptHeartbeat (heartbeat: Heartbeat): HeartbeatReply
 
   /**
    * Issues keys of this incarnation.
--- a/packages/transport/src/peer-clients.ts
+++ b/packages/transport/src/peer-clients.ts
@@ -1,6 +1,7 @@
-import { LoanChannel, type LoanGrant, type LoanRequest } from '@sesamereel/coordination'
-import { type HeartbeatMessage, type IssueKeysRequest, type IssueReply, type JobReply, maxPeerWaitMs, type PeerCancelJob, type PeerFetchJob, type PeerSubmitJob } from '@sesamereel/protocol'
+import { type Heartbeat, type HeartbeatReply, LoanChannel, type LoanGrant, type LoanRequest } from '@sesamereel/coordination'
+import { type heartbeatSchema, type IssueKeysRequest, type IssueReply, type JobReply, maxPeerWaitMs, type PeerCancelJob, type PeerFetchJob, type PeerSubmitJob } from '@sesamereel/protocol'
 import { type Configuration } from '@sesamereel/state'
+import { type z } from 'zod'
 import { type ExchangeObserver } from './exchange-observer.js'
 import { PeerConnection, type PeerResult } from './peer-connection.js'
 
@@ -37,10 +38,11 @@
    * Sends a heartbeat.
    *
    * @param address - peer address as `IP:PORT`
-   * @returns the peer's own heartbeat
+   * @returns the peer's own heartbeat, and what it knows of this instance's seat
    */
-  async sendHeartbeat (address: string, heartbeat: HeartbeatMessage): Promise<PeerResult<HeartbeatMessage>> {
-    return await this.#open(address).call('heartbeat', peerDeadlinesMs.heartbeat, async api => await api.heartbeat.mutate(heartbeat))
+  async sendHeartbeat (address: string, heartbeat: Heartbeat): Promise<PeerResult<HeartbeatReply>> {
+    const message = copyHeartbeat(heartbeat)
+    return await this.#open(address).call('heartbeat', peerDeadlinesMs.heartbeat, async api => await api.heartbeat.mutate(message))
   }
 
   async issueKeys (address: string, request: IssueKeysRequest): Promise<PeerResult<IssueReply>> {
@@ -114,3 +116,8 @@
     return connection
   }
 }
+
+/** The client's input types are mutable. */
+function copyHeartbeat (heartbeat: Heartbeat): z.input<typeof heartbeatSchema> {
+  return { ...heartbeat, ejectedTargets: [...heartbeat.ejectedTargets], leavingTargets: [...heartbeat.leavingTargets] }
+}
--- a/packages/transport/src/request-context.ts
+++ b/packages/transport/src/request-context.ts
@@ -1,5 +1,5 @@
 import { type AllowedCustomers, maxWaitMs, traceparentSchema } from '@sesamereel/protocol'
-import { parseKey } from '@sesamereel/state'
+import { formatKey, parseKey } from '@sesamereel/state'
 import type Koa from 'koa'
 import { createRequestError } from './request-error.js'
 import { type TokenMatcher } from './token-matcher.js'
@@ -45,7 +45,9 @@
  * @throws RequestError for a text that no instance issues
  */
 export function checkKey (key: string, field: string): string {
-  if (parseKey(key) === undefined) throw createRequestError('KeyMalformed', `${JSON.stringify(key.slice(0, 100))} does not have the form DOMAIN.SEAT.INCARNATION.SEQUENCE`, field)
+  const parsed = parseKey(key)
+  // Only the canonical text is a key: "007" is not another name for "7".
+  if (parsed === undefined || formatKey(parsed) !== key) throw createRequestError('KeyMalformed', `${JSON.stringify(key.slice(0, 100))} does not have the form DOMAIN.SEAT.INCARNATION.SEQUENCE`, field)
   return key
 }
 
