Add the dispatcher

Cause: an instance needs one owner of its jobs, queue, targets and shares that starts tasks in order, within the plans and on free slots. A lender with queued work asks its borrowers, which give unused units back at once (LeaseLedger.takeUnused); otherwise it would wait up to the 14 s of the term.

--- a/packages/coordination/src/borrowed-loan.ts
+++ b/packages/coordination/src/borrowed-loan.ts
@@ -1,4 +1,4 @@
-import { addResources, clampResources, isZero, type ResourceVector, resourceDimensions, subtractResources, zeroResources } from '@sesamereel/state'
+import { addResources, clampResources, isWithin, isZero, type ResourceVector, resourceDimensions, subtractResources, zeroResources } from '@sesamereel/state'
 import { type LedgerResource, type LoanRequest } from './loans.js'
 
 /** Time between two renewals of a used loan in milliseconds. */
@@ -98,6 +98,20 @@
     this.amount = clampResources(this.amount, needed)
     return { loanId: this.loanId, resource: this.resource, amount: needed }
   }
+
+  /**
+   * Gives up what is not in use, at once.
+   *
+   * @returns the renewal that tells the lender, or undefined when all or nothing is in use
+   */
+  createReduction (now: number): LoanRequest | undefined {
+    if (this.isExpired(now) || isZero(this.inUse) || isWithin(this.amount, this.inUse)) return undefined
+    this.amount = clampResources(this.amount, this.inUse)
+    this.renewedAt = now
+    this.peak = this.inUse
+    this.earlierPeak = this.inUse
+    return { loanId: this.loanId, resource: this.resource, amount: this.amount }
+  }
 }
 
 function raiseResources (a: ResourceVector, floor: ResourceVector): ResourceVector {
--- /dev/null
+++ b/packages/coordination/src/bound-tasks.ts
@@ -0,0 +1,63 @@
+import { type JobRecord, type TaskRef } from './job-record.js'
+import { type TargetState } from './target-state.js'
+
+/** Tasks tried at one target in one round, when the plans of the first ones are used up. */
+const mostTries = 32
+
+/** Tasks that a policy bound to a busy target and that wait there, first come first served. */
+export class BoundTasks {
+  private readonly targets = new Set<TargetState>()
+
+  get size (): number {
+    return this.targets.size
+  }
+
+  add (target: TargetState, task: TaskRef): void {
+    target.bound.push(task)
+    this.targets.add(target)
+  }
+
+  /** Tries to start tasks at each target that has room. */
+  tryStart (now: number, start: (task: TaskRef, target: TargetState) => boolean): void {
+    for (const target of this.targets) {
+      let index = 0
+      for (let tries = 0; tries < mostTries && index < target.bound.length && target.isUsable(now); tries++) {
+        const task = target.bound[index]!
+        if (!target.hasRoom(task.job.spec.tasks[task.index]!.demand)) break
+        if (start(task, target)) target.bound.splice(index, 1)
+        else index++
+      }
+      if (target.bound.length === 0) this.targets.delete(target)
+    }
+  }
+
+  /** Takes the tasks of targets that are leaving, unlisted or ejected. */
+  takeStranded (now: number): readonly TaskRef[] {
+    const stranded: TaskRef[] = []
+    for (const target of this.targets) {
+      if (target.unlistedSince === undefined && !target.isLeaving && target.health.isStartAllowed(now)) continue
+      stranded.push(...target.bound)
+      target.bound = []
+      this.targets.delete(target)
+    }
+    return stranded
+  }
+
+  /** Takes all tasks. */
+  takeAll (): readonly TaskRef[] {
+    const tasks = [...this.targets].flatMap(target => target.bound)
+    for (const target of this.targets) target.bound = []
+    this.targets.clear()
+    return tasks
+  }
+
+  /** Takes the tasks of one job. */
+  removeJob (job: JobRecord): readonly TaskRef[] {
+    const removed: TaskRef[] = []
+    for (const target of this.targets) {
+      removed.push(...target.bound.filter(task => task.job === job))
+      target.bound = target.bound.filter(task => task.job !== job)
+    }
+    return removed
+  }
+}
--- a/packages/coordination/src/customer-queue.ts
+++ b/packages/coordination/src/customer-queue.ts
@@ -25,6 +25,8 @@
   /** Number of queued tasks, those bound to a busy target included. */
   queued = 0
   limit: ResourceVector = zeroResources
+  /** Time since which none runs, and the next task needs more units than the own share has. */
+  stuckSince: number | undefined
   private readonly classes = new Map<number, DemandClass>()
   private readonly parts = new Map<JobRecord, JobPart[]>()
   private readonly used: MutableVector = { ...zeroResources }
@@ -155,6 +157,12 @@
     return (this.parts.get(job) ?? []).flatMap(part => part.list())
   }
 
+  /** @returns true when the plan blocks every class, so that only free units change anything */
+  isPlanBlocked (): boolean {
+    for (const demandClass of this.classes.values()) if (!demandClass.isPlanBlocked) return false
+    return true
+  }
+
   clearPlanBlocks (): void {
     for (const demandClass of this.classes.values()) demandClass.isPlanBlocked = false
   }
--- /dev/null
+++ b/packages/coordination/src/dispatcher-types.ts
@@ -0,0 +1,37 @@
+import { type ResultError, type SeatId, type Topology } from '@sesamereel/state'
+import { type AttemptRunner } from './attempt.js'
+import { type Clock } from './clock.js'
+import { type DispatchObserver } from './dispatch-observer.js'
+import { type LeavingMark } from './leaving-marks.js'
+import { type LoanChannel } from './loans.js'
+import { type PlacementPolicy } from './placement-policy.js'
+
+export interface DispatcherOptions {
+  readonly identity: SeatId & { readonly incarnation: string }
+  readonly topology: Topology
+  readonly clock: Clock
+  readonly runner: AttemptRunner
+  readonly loans: LoanChannel
+  readonly placement: PlacementPolicy
+  /** Returns a number from 0 up to but not including 1. */
+  readonly random: () => number
+  /** Whether the own share may be used now (see `SeatGuard`). */
+  readonly isShareUsable: () => boolean
+  readonly observer?: DispatchObserver
+}
+
+export type IssueReply =
+  | { readonly kind: 'issued', readonly keys: readonly string[], readonly expiresInMs: number }
+  | { readonly kind: 'refused', readonly error: ResultError }
+
+export type SubmitReply =
+  | { readonly kind: 'accepted' }
+  | { readonly kind: 'attached' }
+  | { readonly kind: 'refused', readonly error: ResultError }
+
+/** What heartbeats tell about this instance. */
+export interface OwnDemand {
+  readonly queuedByCustomer: Readonly<Record<string, number>>
+  readonly ejectedTargets: readonly string[]
+  readonly leavingTargets: readonly LeavingMark[]
+}
--- a/packages/coordination/src/job-queue.ts
+++ b/packages/coordination/src/job-queue.ts
@@ -15,6 +15,11 @@
   private parked: CustomerQueue[] = []
   private round = 0
 
+  /**
+   * @param findLimit - finds the limit that a customer's share is measured against
+   */
+  constructor (private readonly findLimit: (customer: string) => ResourceVector) {}
+
   get (customer: string): CustomerQueue | undefined {
     return this.customers.get(customer)
   }
@@ -23,35 +28,35 @@
     return this.customers.values()
   }
 
-  /** Sets the limits that shares are measured against. */
-  applyLimits (findLimit: (customer: string) => ResourceVector): void {
+  /** Measures shares against the limits that are now in force. */
+  applyLimits (): void {
     for (const queue of this.customers.values()) {
-      queue.limit = findLimit(queue.customer)
+      queue.limit = this.findLimit(queue.customer)
       this.updateShare(queue)
       this.clearPlanBlocks(queue.customer)
     }
   }
 
-  addJob (job: JobRecord, limit: ResourceVector): void {
-    let queue = this.customers.get(job.spec.customer)
-    if (queue === undefined) {
-      queue = new CustomerQueue(job.spec.customer)
-      queue.limit = limit
-      this.customers.set(job.spec.customer, queue)
-    }
+  addJob (job: JobRecord): void {
+    const queue = this.adopt(job.spec.customer)
     queue.addJob(job)
     this.activate(queue)
   }
 
   addAgain (task: TaskRef): void {
-    const queue = this.customers.get(task.job.spec.customer)!
+    const queue = this.adopt(task.job.spec.customer)
     queue.addAgain(task.job, task.index)
     this.activate(queue)
   }
 
   /** @returns how many tasks were dropped */
   removeJob (job: JobRecord): number {
-    return this.customers.get(job.spec.customer)?.removeJob(job) ?? 0
+    const queue = this.customers.get(job.spec.customer)
+    if (queue === undefined) return 0
+    const count = queue.removeJob(job)
+    if (queue.queued === 0) queue.stuckSince = undefined
+    this.removeIfIdle(queue)
+    return count
   }
 
   /** Starts a new round: classes that were skipped for lack of targets are tried again. */
@@ -70,8 +75,9 @@
       const part = queue.findFirst(this.round)
       if (part !== undefined) return { queue, part }
       this.active.remove(queue)
-      if (queue.queued > 0) this.parked.push(queue)
-      else this.removeIfIdle(queue)
+      if (queue.queued === 0) this.removeIfIdle(queue)
+      // A customer that the plan blocks becomes active again when units are free.
+      else if (!queue.isPlanBlocked()) this.parked.push(queue)
     }
   }
 
@@ -80,9 +86,15 @@
     part.demandClass.skippedRound = this.round
   }
 
-  /** Skips the class of a part until units of the customer's plan become free. */
-  skipForPlan (part: JobPart): void {
+  /**
+   * Skips the class of a part until units of the customer's plan become free.
+   *
+   * @param fitsOwnShare - whether the own share is enough for the task, once it is free
+   */
+  skipForPlan (queue: CustomerQueue, part: JobPart, fitsOwnShare: boolean, now: number): void {
     part.demandClass.isPlanBlocked = true
+    if (fitsOwnShare) queue.stuckSince = undefined
+    else if (queue.getUsed().parallel === 0) queue.stuckSince ??= now
   }
 
   clearPlanBlocks (customer: string): void {
@@ -95,6 +107,7 @@
   /** Notes that a taken task starts. */
   noteStart (queue: CustomerQueue, task: TaskRef): void {
     queue.finishQueued(task.job, task.index)
+    queue.stuckSince = undefined
     queue.addUse(task.job.spec.tasks[task.index]!)
     this.updateShare(queue)
   }
@@ -109,6 +122,11 @@
     this.removeIfIdle(queue)
   }
 
+  /** Lists customers with queued tasks that their plan does not block, as far as is known. */
+  listStartable (): readonly CustomerQueue[] {
+    return [...this.customers.values()].filter(queue => queue.queued > 0 && !queue.isPlanBlocked())
+  }
+
   /** Counts queued tasks of customers that are not blocked, and stops at `most`. */
   countActive (most: number): number {
     let count = 0
@@ -119,6 +137,16 @@
     return count
   }
 
+  private adopt (customer: string): CustomerQueue {
+    let queue = this.customers.get(customer)
+    if (queue === undefined) {
+      queue = new CustomerQueue(customer)
+      queue.limit = this.findLimit(customer)
+      this.customers.set(customer, queue)
+    }
+    return queue
+  }
+
   private activate (queue: CustomerQueue): void {
     if (queue.queued > 0 && !this.active.has(queue)) this.active.add(queue, queue.computeShare())
   }
--- a/packages/coordination/src/job-record.ts
+++ b/packages/coordination/src/job-record.ts
@@ -1,4 +1,4 @@
-import { type JobAnswer, type JobSpec, type JobState } from '@sesamereel/state'
+import { type JobAnswer, type JobSpec, type JobState, type ResourceVector, zeroResources } from '@sesamereel/state'
 
 /** A task of a job that waits or runs. */
 export interface TaskRef {
@@ -11,15 +11,17 @@
   readonly results: unknown[]
   /** Expected run time of each task in milliseconds at a target of average speed. */
   readonly expectedMs: Float64Array
+  /** Largest demand of any task in each dimension. */
+  readonly peakDemand: ResourceVector
   /** Number of orders sent for each task; makes task ids unique. */
-  readonly sends: Uint16Array
+  readonly sends: Uint32Array
   /** Number of attempts of each task that may have started. */
   readonly starts: Uint8Array
   /** Target where the latest attempt of a task failed. */
   readonly avoid = new Map<number, string>()
   /** Running attempts: task id to target id. */
   readonly running = new Map<string, string>()
-  readonly waiters = new Set<(answer: JobAnswer) => void>()
+  readonly waiters = new Set<() => void>()
   /** Expected run time in milliseconds of all queued tasks. */
   queuedMs = 0
   done = 0
@@ -36,9 +38,17 @@
     const count = spec.tasks.length
     this.results = new Array<unknown>(count).fill(undefined)
     this.expectedMs = new Float64Array(count)
-    this.sends = new Uint16Array(count)
+    this.sends = new Uint32Array(count)
     this.starts = new Uint8Array(count)
-    for (let i = 0; i < count; i++) this.expectedMs[i] = estimateRun(spec.tasks[i]!.kind, spec.tasks[i]!.expectedMs)
+    const peak = { ...zeroResources, parallel: 1 }
+    for (let i = 0; i < count; i++) {
+      const { kind, expectedMs, demand } = spec.tasks[i]!
+      this.expectedMs[i] = estimateRun(kind, expectedMs)
+      peak.processors = Math.max(peak.processors, demand.processors)
+      peak.memoryMb = Math.max(peak.memoryMb, demand.memoryMb)
+      peak.accelerators = Math.max(peak.accelerators, demand.accelerators)
+    }
+    this.peakDemand = peak
   }
 
   describeState (): JobState {
--- a/packages/coordination/src/lease-ledger.ts
+++ b/packages/coordination/src/lease-ledger.ts
@@ -233,6 +233,15 @@
     return returned
   }
 
+  /** Gives up what is unused of a lender's loans, as returns and as renewals to be sent at once; undefined without loans. */
+  takeUnused (lender: string, resource: LedgerResource, now: number): { returned: readonly string[], reduced: readonly LoanRequest[] } | undefined {
+    const loans = [...this.accounts.get(resource)?.borrowed.values() ?? []].filter((loan) => loan.lender === lender)
+    if (loans.length === 0) return undefined
+    const unused = loans.filter((loan) => loan.isIdle(now, 0))
+    for (const loan of unused) this.close(loan, now)
+    return { returned: unused.map((loan) => loan.loanId), reduced: loans.flatMap((loan) => loan.createReduction(now) ?? []) }
+  }
+
   /** Drops what has expired on both sides. */
   sweep (now: number): void {
     for (const loan of this.listBorrowed()) if (loan.isExpired(now)) this.close(loan, now)
--- /dev/null
+++ b/packages/coordination/src/plan-account.ts
@@ -0,0 +1,75 @@
+import { type Configuration, countSeats, emptyConfiguration, findLimit, findSeatIndex, isWithin, type ResourceVector, type SeatId, splitLimit, type Topology, zeroResources } from '@sesamereel/state'
+import { LeaseLedger, type Reservation } from './lease-ledger.js'
+import { type LedgerResource } from './loans.js'
+import { splitIntoShares } from './plan-shares.js'
+
+const planPrefix = 'plan:'
+
+/** Term of a loan of plan units in milliseconds; longer than any attempt can last. */
+const planTermMs = 14_000
+
+/** What a borrower stops before the end of the term, for clocks that run at different rates. */
+const planMarginMs = 200
+
+/** @returns the name of a customer's plan in the ledger */
+export function formatPlanResource (customer: string): LedgerResource {
+  return planPrefix + customer
+}
+
+/** @returns the customer whose plan a resource names, or undefined for another resource */
+export function parsePlanResource (resource: LedgerResource): string | undefined {
+  return resource.startsWith(planPrefix) ? resource.slice(planPrefix.length) : undefined
+}
+
+/** The shares of this seat in the plans of all customers. */
+export class PlanAccount {
+  readonly ledger = new LeaseLedger({ termMs: planTermMs, marginMs: planMarginMs, checkLatestEnd: true })
+  private configuration: Configuration = emptyConfiguration
+  private readonly seatCount: number
+
+  constructor (private readonly topology: Topology, private readonly seat: SeatId) {
+    this.seatCount = countSeats(topology)
+    if (findSeatIndex(topology, seat) === undefined) {
+      throw new Error(`seat ${seat.seat} of domain "${seat.domain}" is not in the topology`)
+    }
+  }
+
+  /** Sets the own share of every customer; a customer without a plan has none. */
+  applyConfiguration (configuration: Configuration): void {
+    for (const customer of Object.keys(this.configuration.plans)) {
+      if (findLimit(configuration, customer) === undefined) this.ledger.removeResource(formatPlanResource(customer))
+    }
+    this.configuration = configuration
+    for (const [customer, share] of splitIntoShares(configuration, this.topology, this.seat)) {
+      this.ledger.setOwned(formatPlanResource(customer), share)
+    }
+  }
+
+  get version (): number {
+    return this.configuration.version
+  }
+
+  findLimit (customer: string): ResourceVector | undefined {
+    return findLimit(this.configuration, customer)
+  }
+
+  /** @returns the share that a seat owns of a customer's limit */
+  computeShare (customer: string, seat: SeatId): ResourceVector {
+    const limit = this.findLimit(customer)
+    const index = findSeatIndex(this.topology, seat)
+    return limit === undefined || index === undefined ? zeroResources : splitLimit(limit, this.seatCount, index, customer)
+  }
+
+  /** @returns true when the own share is at least the amount, whether or not it is free */
+  isWithinOwnShare (customer: string, amount: ResourceVector): boolean {
+    return isWithin(amount, this.computeShare(customer, this.seat))
+  }
+
+  reserve (customer: string, amount: ResourceVector, latestEnd: number, now: number, ownUsable: boolean): Reservation | undefined {
+    return this.ledger.reserve(formatPlanResource(customer), amount, latestEnd, now, ownUsable)
+  }
+
+  computeAvailable (customer: string, latestEnd: number, now: number, ownUsable: boolean): ResourceVector {
+    return this.ledger.computeAvailable(formatPlanResource(customer), latestEnd, now, ownUsable)
+  }
+}
--- a/packages/coordination/src/target-state.ts
+++ b/packages/coordination/src/target-state.ts
@@ -22,9 +22,6 @@
 const shortestBackOffMs = 10
 const longestBackOffMs = 500
 
-/** Number of earlier boot ids that are remembered, to ignore replies that arrive late. */
-const mostEarlierBoots = 8
-
 /** All that is known of one target. */
 export class TargetState {
   readonly id: string
@@ -34,54 +31,38 @@
   bound: TaskRef[] = []
   /** Credits that are free for a start; kept current by `SlotCredits`. */
   freeCredits = 0
+  /** Whether the target gets no new work; kept current by `TargetTable`. */
+  isLeaving = false
   /** Time since which the target is missing from the list. */
   unlistedSince: number | undefined
   private boot: string | undefined
-  private readonly earlierBoots: string[] = []
-  private leavingBoot = false
   private backOffUntil = -Infinity
   private backOffMs = 0
   private readonly used = { processors: 0, memoryMb: 0, accelerators: 0 }
 
   constructor (public description: TargetDescription) {
     this.id = description.id
-    this.leavingBoot = description.state === 'leaving'
   }
 
-  /**
-   * Applies a newer description. A mark in the list sticks to the boot that it finds, since the
-   * list lags and may mark an earlier state again.
-   */
   applyDescription (description: TargetDescription): void {
-    if (description.state === 'leaving' && this.description.state !== 'leaving') this.leavingBoot = true
     this.description = description
     this.unlistedSince = undefined
   }
 
   /** Applies what a reply of the target tells. */
   applyReport (report: TargetReport): void {
-    if (this.earlierBoots.includes(report.boot)) return
-    if (this.boot !== undefined && report.boot !== this.boot) {
-      this.earlierBoots.push(this.boot)
-      if (this.earlierBoots.length > mostEarlierBoots) this.earlierBoots.shift()
-      this.leavingBoot = false
-    }
     this.boot = report.boot
-    if (report.leaving) this.leavingBoot = true
     if (report.freeSlots > 0) this.backOffUntil = -Infinity
   }
 
-  markLeaving (): void {
-    this.leavingBoot = true
-  }
-
-  isLeaving (): boolean {
-    return this.leavingBoot || this.description.state === 'leaving'
+  /** @returns the boot id in the latest reply, undefined before the first */
+  getBoot (): string | undefined {
+    return this.boot
   }
 
   /** @returns true when a task may be started, as far as the state of the target decides */
   isUsable (now: number): boolean {
-    return this.unlistedSince === undefined && !this.isLeaving() && now >= this.backOffUntil && this.health.isStartAllowed(now)
+    return this.unlistedSince === undefined && !this.isLeaving && now >= this.backOffUntil && this.health.isStartAllowed(now)
   }
 
   /** @returns true when the target could run the demand while nothing else runs there */
--- a/packages/coordination/src/target-table.ts
+++ b/packages/coordination/src/target-table.ts
@@ -1,8 +1,9 @@
 import { type Demand, type TargetDescription } from '@sesamereel/state'
 import { type AttemptResult } from './attempt.js'
 import { FailureAttribution } from './failure-attribution.js'
+import { type LeavingMark, LeavingMarks } from './leaving-marks.js'
 import { type HealthSign } from './target-health.js'
-import { type RunningAttempt, TargetState } from './target-state.js'
+import { type RunningAttempt, type TargetReport, TargetState } from './target-state.js'
 
 /** An unlisted target is remembered this long in milliseconds, so that its leaving mark survives a gap in the list. */
 const rememberMs = 600_000
@@ -14,6 +15,7 @@
 export class TargetTable {
   private readonly targets = new Map<string, TargetState>()
   private listed: TargetState[] = []
+  private readonly leaving = new LeavingMarks()
   private readonly attribution = new FailureAttribution()
   private peerEjections = new Map<string, ReadonlySet<string>>()
 
@@ -38,6 +40,7 @@
       const target = this.targets.get(description.id)
       if (target === undefined) this.targets.set(description.id, new TargetState(description))
       else target.applyDescription(description)
+      this.leaving.applyList(description.id, description.state === 'leaving', now)
     }
     const forgotten: string[] = []
     this.listed = []
@@ -53,9 +56,31 @@
         forgotten.push(target.id)
       }
     }
+    this.leaving.keep(new Set(this.targets.keys()))
+    this.refreshLeaving()
     return forgotten
   }
 
+  /** Applies what a reply of the target tells. */
+  applyReport (id: string, report: TargetReport): void {
+    const target = this.targets.get(id)
+    if (target === undefined) return
+    this.leaving.observe(id, report.boot, report.leaving)
+    target.isLeaving = this.leaving.isLeaving(id)
+    target.applyReport(report)
+  }
+
+  /** Applies marks of leaving targets that a peer passed on. */
+  applyPeerMarks (marks: readonly LeavingMark[]): void {
+    for (const mark of marks) if (this.targets.has(mark.id)) this.leaving.observeMark(mark)
+    this.refreshLeaving()
+  }
+
+  /** @returns marks of leaving targets, to be passed on to peers */
+  listLeaving (): readonly LeavingMark[] {
+    return this.leaving.listMarks()
+  }
+
   /** @returns true when some listed target could run the demand while nothing else runs there */
   isAnyLargeEnough (demand: Demand): boolean {
     return this.listed.some(target => target.isLargeEnough(demand))
@@ -74,8 +99,9 @@
   recordEnd (target: TargetState, taskId: string, kind: string, result: AttemptResult, now: number): { attempt: RunningAttempt | undefined, change: HealthChange | undefined } {
     const attempt = target.noteEnd(taskId)
     if (result.kind === 'not-started') {
-      if (result.reason === 'leaving') target.markLeaving()
-      if (result.reason === 'slots' || result.reason === 'resources' || result.reason === 'boot') target.beginBackOff(now)
+      const boot = target.getBoot()
+      if (result.reason === 'leaving' && boot !== undefined) this.applyReport(target.id, { boot, freeSlots: 0, leaving: true })
+      if (result.reason === 'slots' || result.reason === 'resources' || result.reason === 'boot' || result.reason === 'leaving') target.beginBackOff(now)
     } else {
       target.endBackOff()
     }
@@ -83,6 +109,10 @@
     return { attempt, change: target.health.recordSign(sign, attempt?.isProbe ?? false, now) }
   }
 
+  private refreshLeaving (): void {
+    for (const target of this.targets.values()) target.isLeaving = this.leaving.isLeaving(target.id)
+  }
+
   private judge (target: TargetState, kind: string, result: AttemptResult): HealthSign {
     switch (result.kind) {
       case 'succeeded':
