--- a/packages/coordination/src/attempt-rules.ts
+++ b/packages/coordination/src/attempt-rules.ts
@@ -33,17 +33,17 @@
       // Another attempt would need the same memory again.
       return { kind: 'fail', code: 'TaskOverMemory', message: `task ${taskId} used more memory than it declared` }
     case 'failed':
-      return decideRepeat(repeatable, starts, 'TaskFailed', `task ${taskId} failed: ${result.message}`)
+      return judgeRepeat(repeatable, starts, 'TaskFailed', `task ${taskId} failed: ${result.message}`)
     case 'timed-out':
-      return decideRepeat(repeatable, starts, 'TaskTimedOut', `task ${taskId} was stopped after ${Math.round(result.runMs)} ms`)
+      return judgeRepeat(repeatable, starts, 'TaskTimedOut', `task ${taskId} was stopped after ${Math.round(result.runMs)} ms`)
     case 'cancelled':
-      return decideRepeat(repeatable, starts, 'TaskFailed', `task ${taskId} was cancelled at its target`)
+      return judgeRepeat(repeatable, starts, 'TaskFailed', `task ${taskId} was cancelled at its target`)
     case 'unknown':
-      return decideRepeat(repeatable, starts, 'TaskOutcomeUnknown', `the outcome of task ${taskId} is unknown: ${result.message}`)
+      return judgeRepeat(repeatable, starts, 'TaskOutcomeUnknown', `the outcome of task ${taskId} is unknown: ${result.message}`)
   }
 }
 
-function decideRepeat (repeatable: boolean, starts: number, code: ResultCodeName, message: string): AttemptDecision {
+function judgeRepeat (repeatable: boolean, starts: number, code: ResultCodeName, message: string): AttemptDecision {
   if (!repeatable) return { kind: 'fail', code, message }
   if (starts < mostStarts) return { kind: 'restart', isTargetSuspect: true }
   return { kind: 'fail', code: 'AttemptsExhausted', message: `${message} (attempt ${starts} of ${mostStarts})` }
--- a/packages/coordination/src/bound-tasks.ts
+++ b/packages/coordination/src/bound-tasks.ts
@@ -18,7 +18,7 @@
   }
 
   /** Tries to start tasks at each target that has room. */
-  tryStart (now: number, start: (task: TaskRef, target: TargetState) => boolean): void {
+  startWaiting (now: number, start: (task: TaskRef, target: TargetState) => boolean): void {
     for (const target of this.targets) {
       let index = 0
       for (let tries = 0; tries < mostTries && index < target.bound.length && target.isUsable(now); tries++) {
--- a/packages/coordination/src/dispatcher.ts
+++ b/packages/coordination/src/dispatcher.ts
@@ -55,7 +55,7 @@
       postLoanReply: (reply) => { this.mailbox.post({ kind: 'loans', reply }) },
       startAttempt: (attempt) => { this.start(attempt) }
     })
-    this.cancelMaintenance = this.clock.startTimer(maintainMs, () => { this.maintain() })
+    this.cancelMaintenance = this.clock.startTimer(maintainMs, () => { this.runMaintenance() })
   }
 
   issueKeys (customer: string, count: number): IssueReply {
@@ -108,7 +108,7 @@
     const reply = this.parts.jobs.fetch(key, customer)
     const job = this.parts.jobs.get(key)
     if (reply.kind === 'refused' || job === undefined) return reply
-    this.parts.progress.fail(job, 'JobCancelled', `job ${key} was cancelled`, undefined, true)
+    this.parts.progress.finishFailed(job, 'JobCancelled', `job ${key} was cancelled`, undefined, true)
     this.mailbox.schedule()
     return this.parts.jobs.fetch(key, customer)
   }
@@ -118,7 +118,7 @@
     this.parts.shares.applyConfiguration(configuration)
     this.parts.queue.applyLimits()
     this.parts.starter.clearBound()
-    this.parts.progress.failImpossible()
+    this.parts.progress.finishImpossible()
     this.mailbox.schedule()
   }
 
@@ -245,16 +245,16 @@
       .sort((a, b) => this.parts.estimator.getFactor(a.id) - this.parts.estimator.getFactor(b.id))
   }
 
-  private maintain (): void {
+  private runMaintenance (): void {
     const now = this.clock.now()
-    this.cancelMaintenance = this.clock.startTimer(maintainMs, () => { this.maintain() })
-    this.parts.exchange.maintain(now)
+    this.cancelMaintenance = this.clock.startTimer(maintainMs, () => { this.runMaintenance() })
+    this.parts.exchange.updateLoans(now)
     // Loans end and the own share becomes usable without a message.
-    for (const target of this.parts.targets.list()) this.parts.credits.refresh(target, now)
+    for (const target of this.parts.targets.list()) this.parts.credits.updateFree(target, now)
     this.clearPlanBlocks()
     if (++this.maintenanceRounds % slowRounds === 0) {
       this.parts.registry.sweep(now)
-      this.parts.progress.failImpossible()
+      this.parts.progress.finishImpossible()
     }
     this.mailbox.schedule()
   }
--- a/packages/coordination/src/job-progress.ts
+++ b/packages/coordination/src/job-progress.ts
@@ -67,7 +67,7 @@
       case 'fail':
         // Running tasks of a job that is not repeatable end by themselves: stopping one halfway would
         // leave effects that nobody can tell.
-        this.fail(job, decision.code, decision.message, index, job.spec.repeatable)
+        this.finishFailed(job, decision.code, decision.message, index, job.spec.repeatable)
     }
   }
 
@@ -77,7 +77,7 @@
    * @param taskIndex - task that caused the failure
    * @param cancelsRunning - whether running tasks are asked to stop
    */
-  fail (job: JobRecord, code: ResultCodeName, message: string, taskIndex: number | undefined, cancelsRunning: boolean): void {
+  finishFailed (job: JobRecord, code: ResultCodeName, message: string, taskIndex: number | undefined, cancelsRunning: boolean): void {
     const error = createResultError(code, message)
     const failure = { code: error.code, message, ...(taskIndex === undefined ? {} : { taskIndex }) }
     this.finish(job, { state: 'failed', key: job.spec.key, failure })
@@ -93,7 +93,7 @@
   }
 
   /** Fails jobs with queued tasks that exceed the plan, or that have long exceeded every target. */
-  failImpossible (): void {
+  finishImpossible (): void {
     const now = this.parts.now()
     const hasTargets = this.parts.targets.list().length > 0
     const targets = { isAnyLargeEnough: (demand: Demand) => !hasTargets || this.parts.targets.isAnyLargeEnough(demand) }
@@ -107,7 +107,7 @@
       else job.unfitSince = undefined
       if (impossible === undefined || (job.unfitSince !== undefined && now - job.unfitSince < unfitMs)) continue
       const bound = impossible.reason === 'plan' ? `the plan of "${spec.customer}"` : 'every target'
-      this.fail(job, 'DemandNoLongerAllowed', `the demand of queued task ${impossible.index} exceeds ${bound}`, impossible.index, spec.repeatable)
+      this.finishFailed(job, 'DemandNoLongerAllowed', `the demand of queued task ${impossible.index} exceeds ${bound}`, impossible.index, spec.repeatable)
     }
   }
 }
--- a/packages/coordination/src/job-queue.ts
+++ b/packages/coordination/src/job-queue.ts
@@ -40,13 +40,13 @@
   addJob (job: JobRecord): void {
     const queue = this.adopt(job.spec.customer)
     queue.addJob(job)
-    this.activate(queue)
+    this.addActive(queue)
   }
 
   addAgain (task: TaskRef): void {
     const queue = this.adopt(task.job.spec.customer)
     queue.addAgain(task.job, task.index)
-    this.activate(queue)
+    this.addActive(queue)
   }
 
   /** @returns how many tasks were dropped */
@@ -64,7 +64,7 @@
     this.round++
     const parked = this.parked
     this.parked = []
-    for (const queue of parked) this.activate(queue)
+    for (const queue of parked) this.addActive(queue)
   }
 
   /** @returns the part whose first task is next, or undefined when no task can start */
@@ -101,7 +101,7 @@
     const queue = this.customers.get(customer)
     if (queue === undefined) return
     queue.clearPlanBlocks()
-    this.activate(queue)
+    this.addActive(queue)
   }
 
   /** Notes that a taken task starts. */
@@ -147,7 +147,7 @@
     return queue
   }
 
-  private activate (queue: CustomerQueue): void {
+  private addActive (queue: CustomerQueue): void {
     if (queue.queued > 0 && !this.active.has(queue)) this.active.add(queue, queue.computeShare())
   }
 
--- a/packages/coordination/src/lending-rules.ts
+++ b/packages/coordination/src/lending-rules.ts
@@ -31,7 +31,7 @@
     const spare = clampResources(subtractResources(available, ownDemand), available)
     const waiting = this.countOtherWaiting(borrower, request.resource, now)
     if (waiting === 0) return spare
-    if (this.loans.has(request.loanId)) return clampResources(spare, divideUp(owned, waiting + 1))
+    if (this.loans.has(request.loanId)) return clampResources(spare, splitUp(owned, waiting + 1))
     return this.isBorrowing(borrower, request.resource, now) ? zeroResources : spare
   }
 
@@ -89,7 +89,7 @@
   }
 }
 
-function divideUp (a: ResourceVector, parts: number): ResourceVector {
+function splitUp (a: ResourceVector, parts: number): ResourceVector {
   return {
     processors: Math.ceil(a.processors / parts),
     memoryMb: Math.ceil(a.memoryMb / parts),
--- a/packages/coordination/src/loan-exchange.ts
+++ b/packages/coordination/src/loan-exchange.ts
@@ -96,7 +96,7 @@
   }
 
   /** Renews used loans and returns unused ones. */
-  maintain (now: number): void {
+  updateLoans (now: number): void {
     this.rules.sweep(now)
     const renewals = new Map<string, LoanRequest[]>()
     for (const ledger of this.listLedgers()) {
@@ -137,7 +137,7 @@
         this.parts.queue.clearPlanBlocks(customer)
       } else {
         this.parts.credits.ledger.addGrant(peer, request, grant, sentAt)
-        this.refreshCredits(request.resource, now)
+        this.updateCredits(request.resource, now)
       }
     })
     if (reply.isRenewal) return
@@ -164,7 +164,7 @@
   acceptReturn (peer: string, loanIds: readonly string[], now: number): void {
     this.rules.recordReturns(loanIds)
     for (const ledger of this.listLedgers()) ledger.acceptReturn(peer, loanIds, now)
-    for (const target of this.parts.targets.list()) this.parts.credits.refresh(target, now)
+    for (const target of this.parts.targets.list()) this.parts.credits.updateFree(target, now)
   }
 
   private lendPlan (peer: string, request: LoanRequest, customer: string, now: number): LoanGrant {
@@ -197,7 +197,7 @@
     const owned = this.computeShareOf(this.parts.self, request.resource)
     const grant = this.parts.credits.ledger.grant(peer, [request], now, true,
       (_, available) => this.rules.computeSpare(peer, request, available, ownDemand, owned, now))[0]!
-    this.parts.credits.refresh(target, now)
+    this.parts.credits.updateFree(target, now)
     return grant
   }
 
@@ -213,9 +213,9 @@
     for (const [peer, ids] of returned) this.parts.channel.returnLoans(peer, ids)
   }
 
-  private refreshCredits (resource: LedgerResource, now: number): void {
+  private updateCredits (resource: LedgerResource, now: number): void {
     const target = this.parts.targets.get(parseSlotResource(resource) ?? '')
-    if (target !== undefined) this.parts.credits.refresh(target, now)
+    if (target !== undefined) this.parts.credits.updateFree(target, now)
   }
 
   private computeAvailable (queue: CustomerQueue, now: number): ResourceVector {
@@ -247,7 +247,7 @@
     const { returned, reduced } = unused
     if (returned.length > 0) this.parts.channel.returnLoans(lender, returned)
     if (reduced.length > 0) this.send(lender, reduced, true, now)
-    if (returned.length > 0 || reduced.length > 0) this.refreshCredits(resource, now)
+    if (returned.length > 0 || reduced.length > 0) this.updateCredits(resource, now)
     return true
   }
 
--- a/packages/coordination/src/slot-credits.ts
+++ b/packages/coordination/src/slot-credits.ts
@@ -46,7 +46,7 @@
   applyTargets (targets: readonly TargetState[], now: number): void {
     for (const target of targets) {
       this.ledger.setOwned(formatSlotResource(target.id), { ...zeroResources, parallel: this.computeShare(target, this.self) })
-      this.refresh(target, now)
+      this.updateFree(target, now)
     }
   }
 
@@ -62,7 +62,7 @@
   }
 
   /** Brings `freeCredits` of the target up to date. */
-  refresh (target: TargetState, now: number): void {
+  updateFree (target: TargetState, now: number): void {
     target.freeCredits = this.ledger.computeAvailable(formatSlotResource(target.id), now, now, true).parallel
   }
 
@@ -76,6 +76,6 @@
 
   release (reservation: Reservation, target: TargetState, now: number): void {
     this.ledger.release(reservation)
-    this.refresh(target, now)
+    this.updateFree(target, now)
   }
 }
--- a/packages/coordination/src/target-health.ts
+++ b/packages/coordination/src/target-health.ts
@@ -65,7 +65,7 @@
       // Attempts from before the ejection must not readmit the target.
       if (!isProbe) return undefined
       if (sign === 'success') {
-        this.readmit()
+        this.resetEjection()
         return 'readmitted'
       }
       this.ejectedUntil = now + ejectionMs
@@ -94,10 +94,10 @@
 
   /** Ends an ejection that was taken over, when the peer readmits the target. */
   endAdoptedEjection (): void {
-    if (this.adopted) this.readmit()
+    if (this.adopted) this.resetEjection()
   }
 
-  private readmit (): void {
+  private resetEjection (): void {
     this.ejectedUntil = undefined
     this.adopted = false
     this.outcomes = []
--- a/packages/coordination/src/target-table.ts
+++ b/packages/coordination/src/target-table.ts
@@ -57,7 +57,7 @@
       }
     }
     this.leaving.keep(new Set(this.targets.keys()))
-    this.refreshLeaving()
+    this.updateLeaving()
     return forgotten
   }
 
@@ -73,7 +73,7 @@
   /** Applies marks of leaving targets that a peer passed on. */
   applyPeerMarks (marks: readonly LeavingMark[]): void {
     for (const mark of marks) if (this.targets.has(mark.id)) this.leaving.observeMark(mark)
-    this.refreshLeaving()
+    this.updateLeaving()
   }
 
   /** @returns marks of leaving targets, to be passed on to peers */
@@ -109,7 +109,7 @@
     return { attempt, change: target.health.recordSign(sign, attempt?.isProbe ?? false, now) }
   }
 
-  private refreshLeaving (): void {
+  private updateLeaving (): void {
     for (const target of this.targets.values()) target.isLeaving = this.leaving.isLeaving(target.id)
   }
 
--- a/packages/coordination/src/task-starter.ts
+++ b/packages/coordination/src/task-starter.ts
@@ -91,7 +91,7 @@
       if (first === undefined) break
       // The clock is read for each start: a process that was paused must not act on an old time.
       const now = this.parts.now()
-      const decision = this.placeFirst(first.part, now)
+      const decision = this.selectTarget(first.part, now)
       if (decision.kind === 'none') {
         areSlotsShort = true
         if (!targets.isAnyFree(now)) break
@@ -102,7 +102,7 @@
       } else {
         const outcome = decision.kind === 'start'
           ? this.startFirst(first.queue, first.part, decision.target, now)
-          : this.bindFirst(first.queue, first.part, decision.target, now)
+          : this.attachFirst(first.queue, first.part, decision.target, now)
         if (outcome === 'started' && decision.kind === 'start') starts++
         if (outcome === 'plan') {
           planShort.add(first.queue)
@@ -118,7 +118,7 @@
     return this.parts.shares.isWithinOwnShare(spec.customer, createTaskVector(spec.tasks[part.getFirst()]!.demand))
   }
 
-  private placeFirst (part: JobPart, now: number): PlacementDecision {
+  private selectTarget (part: JobPart, now: number): PlacementDecision {
     const { job } = part
     const index = part.getFirst()
     const request = {
@@ -135,7 +135,7 @@
     return this.startTask(task, target, now, () => { queue.takeFirst(part) })
   }
 
-  private bindFirst (queue: CustomerQueue, part: JobPart, target: TargetState, now: number): StartOutcome {
+  private attachFirst (queue: CustomerQueue, part: JobPart, target: TargetState, now: number): StartOutcome {
     const spec = part.job.spec.tasks[part.getFirst()]!
     const available = this.parts.shares.computeAvailable(queue.customer, computeLatestEnd(spec, now), now, this.parts.isShareUsable())
     if (!isWithin(createTaskVector(spec.demand), available)) return 'plan'
@@ -177,7 +177,7 @@
     let starts = 0
     const now = this.parts.now()
     this.addAgain(this.bound.takeStranded(now))
-    this.bound.tryStart(now, (task, target) => {
+    this.bound.startWaiting(now, (task, target) => {
       const outcome = this.startTask(task, target, this.parts.now(), () => {})
       if (outcome === 'started') starts++
       return outcome === 'started'
