Wire the entry instance and its life cycle

The registry can now name the customer of a key, because GET and DELETE /v1/jobs/KEY do not name one.

--- a/packages/coordination/src/job-registry.ts
+++ b/packages/coordination/src/job-registry.ts
@@ -105,6 +105,18 @@
     return refuseEnded(key, status)
   }
 
+  /**
+   * Finds the customer to whom a key was issued, for requests that name only the key.
+   *
+   * @returns undefined for a key that this incarnation did not issue or no longer knows
+   */
+  findCustomer (key: string): string | undefined {
+    const record = this.jobs.get(key)
+    if (record !== undefined) return record.customer
+    const parsed = this.parseOwnKey(key)
+    return 'error' in parsed ? undefined : this.blocks.findCustomer(parsed.sequence)
+  }
+
   /** Records the answer of an admitted job; only the first answer counts. */
   finish (key: string, answer: JobAnswer, now: number): void {
     const record = this.jobs.get(key)
--- a/packages/entry/src/heartbeat-exchange.ts
+++ b/packages/entry/src/heartbeat-exchange.ts
@@ -7,7 +7,6 @@
 import { type Identity } from './identity.js'
 import { type InstancePhase } from './instance-phase.js'
 import { type SeatKeeper } from './seat-keeper.js'
-import { type TargetDirectory } from './target-directory.js'
 
 /** Pause in milliseconds between two rounds of heartbeats in the own domain. */
 export const heartbeatIntervalMs = 500
@@ -28,7 +27,6 @@
   readonly keeper: SeatKeeper
   readonly phase: InstancePhase
   readonly sync: ConfigurationSync
-  readonly targets: TargetDirectory
   readonly peers: PeerClients
   readonly dispatcher: Pick<Dispatcher, 'readDemand' | 'applyPeers'>
   readonly readVersion: () => number
@@ -108,14 +106,11 @@
   }
 
   #learn (received: Heartbeat): void {
-    const { clock, identity, keeper, membership, sync, targets } = this.#options
+    const { clock, identity, keeper, membership, sync } = this.#options
     const heartbeat = this.#resolveAddress(received)
     membership.observeHeartbeat(heartbeat, clock.now())
     keeper.observeHolder(heartbeat.holders[formatSeat(identity)])
-    if (heartbeat.domain === identity.domain) {
-      if (heartbeat.seat === identity.seat) keeper.observeHolder(heartbeat)
-      targets.observeMarks(heartbeat.leavingTargets)
-    }
+    if (heartbeat.domain === identity.domain && heartbeat.seat === identity.seat) keeper.observeHolder(heartbeat)
     sync.observeVersion(heartbeat.configurationVersion, heartbeat.peerAddress).catch((error: unknown) => { this.#options.log.logError('heartbeat', error) })
   }
 
@@ -129,7 +124,7 @@
   }
 
   #compose (toDomain: string): Heartbeat {
-    const { dispatcher, directory, identity, keeper, phase, settings, targets } = this.#options
+    const { dispatcher, directory, identity, keeper, phase, settings } = this.#options
     const holder = keeper.readHolder()
     const demand = dispatcher.readDemand()
     const isOwnDomain = toDomain === identity.domain
@@ -145,7 +140,7 @@
       topologyHash: this.#topologyHash,
       queuedByCustomer: demand.queuedByCustomer,
       ejectedTargets: isOwnDomain ? demand.ejectedTargets : [],
-      leavingTargets: isOwnDomain ? targets.listMarks() : [],
+      leavingTargets: isOwnDomain ? demand.leavingTargets : [],
       holders: directory.listHolders()
     }
   }
@@ -179,7 +174,8 @@
       seat: peer.name,
       sameDomain: peer.seat.domain === identity.domain,
       queuedByCustomer: peer.heartbeat!.queuedByCustomer,
-      ejectedTargets: peer.heartbeat!.ejectedTargets
+      ejectedTargets: peer.heartbeat!.ejectedTargets,
+      leavingTargets: peer.heartbeat!.leavingTargets
     })))
   }
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './instance.js'
+export * from './load-settings.js'
