--- a/packages/bench/src/history-checker.ts
+++ b/packages/bench/src/history-checker.ts
@@ -21,6 +21,8 @@
   readonly notRun?: unknown
   readonly name?: unknown
   readonly version?: unknown
+  /** Version that the instance applies; `version` is the newest one that it can read. */
+  readonly inForce?: unknown
   readonly plans?: unknown
   readonly limits?: unknown
 }
@@ -192,12 +194,13 @@
       if (content !== undefined && !(isEqual(content.plans, body.plans) && isEqual(content.limits, body.limits))) {
         violations.push({ invariant: 'I8', message: `${via} shows version ${version} with another content than was committed` })
       }
-      const before = calls.filter(({ at }) => at < call.sentAt).map(earlier => Number(readAnswer(earlier)!.version))
+      const inForce = readInForce(call)
+      const before = calls.filter(({ at }) => at < call.sentAt).map(readInForce)
       const highest = Math.max(0, ...before)
-      if (version < highest) violations.push({ invariant: 'I8', message: `${via} reverted from version ${highest} to ${version}` })
+      if (inForce < highest) violations.push({ invariant: 'I8', message: `${via} reverted from version ${highest} to ${inForce}` })
       const due = dueTimes.findLast(({ dueAt }) => dueAt < call.sentAt)
-      if (due !== undefined && version < due.version) {
-        violations.push({ invariant: 'I8', message: `${via} still shows version ${version} ${call.sentAt - due.at} ms after version ${due.version} was committed` })
+      if (due !== undefined && inForce < due.version) {
+        violations.push({ invariant: 'I8', message: `${via} still applies version ${inForce} ${call.sentAt - due.at} ms after version ${due.version} was committed` })
       }
     }
   }
@@ -293,6 +296,11 @@
   return body.error ?? body
 }
 
+function readInForce (call: CallRecord): number {
+  const body = readAnswer(call)
+  return Number(body?.inForce ?? body?.version)
+}
+
 function describeStarts (starts: readonly StartRecord[]): string {
   return starts.map(({ id, target, at, endedAt, outcome }) => `${id} at ${target} from ${at} to ${endedAt} ${outcome}`).join('; ')
 }
--- a/packages/bench/src/history-records.ts
+++ b/packages/bench/src/history-records.ts
@@ -46,7 +46,6 @@
 /** The moment at which the platform's list first showed a target as leaving. */
 export interface LeavingRecord {
   readonly target: string
-  readonly domain: string
   readonly visibleAt: number
 }
 
--- a/packages/bench/src/launcher.ts
+++ b/packages/bench/src/launcher.ts
@@ -102,10 +102,12 @@
    * Runs a program to its end and collects its output.
    *
    * @param args - script and its arguments
+   * @param environment - variables added to those of this process
+   * @param timeoutMs - the program is killed after this time
    * @returns exit code and both outputs
    */
-  async runProgram (args: readonly string[], timeoutMs = 30_000): Promise<{ code: number | null, stdout: string, stderr: string }> {
-    const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'], timeout: timeoutMs, killSignal: 'SIGKILL' })
+  async runProgram (args: readonly string[], environment: Readonly<Record<string, string>> = {}, timeoutMs = 30_000): Promise<{ code: number | null, stdout: string, stderr: string }> {
+    const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'], timeout: timeoutMs, killSignal: 'SIGKILL', env: { ...process.env, ...environment } })
     let stdout = ''
     let stderr = ''
     child.stdout.on('data', chunk => { stdout += String(chunk) })
--- a/packages/bench/test/history-checker.test.ts
+++ b/packages/bench/test/history-checker.test.ts
@@ -27,7 +27,7 @@
     createCall('read-lists', 20_000, { version: 1, ...lists }, { job: undefined })
   ],
   starts: [createStart('j#0', 1_100, 1_500), createStart('j#1', 1_100, 1_500)],
-  leaving: [{ target: 't9', domain: 'gent', visibleAt: 5_000 }],
+  leaving: [{ target: 't9', visibleAt: 5_000 }],
   configurations: [{ at: 100, version: 1, editId: 'e1', ...lists }],
   stops: [{ process: 'gent.1#2', begunAt: 3_000, endedAt: 4_000, exitCode: 0 }],
   faults: []
@@ -71,8 +71,9 @@
   ['a planned stop that had to be killed', 'I7', /exit code null/, { ...good, stops: [{ ...good.stops[0]!, exitCode: null }] }],
   ['a request that a planned stop cut off', 'I7', /cut off a submit/, withCalls(createCall('submit', 2_900, undefined, { via: 'gent.1#2', at: 3_500, reply: broken }))],
   ['a version that fell', 'I8', /reverted from version 1 to 0/, withCalls(createCall('read-lists', 21_000, { version: 0, plans: {}, limits: {} }, { job: undefined }))],
+  ['an instance that applies an older version than it did', 'I8', /reverted from version 1 to 0/, withCalls(createCall('read-lists', 21_000, { version: 1, inForce: 0, ...lists }, { job: undefined }))],
   ['one version with two contents', 'I8', /another content/, withCalls(createCall('read-lists', 21_000, { version: 1, ...lists, limits: lowered }, { job: undefined }))],
-  ['a version that is in force too late', 'I8', /still shows version 1/, { ...good, configurations: [...good.configurations, { at: 14_000, version: 2, editId: 'e2', ...lists, limits: lowered }] }],
+  ['a version that is in force too late', 'I8', /still applies version 1/, { ...good, configurations: [...good.configurations, { at: 14_000, version: 2, editId: 'e2', ...lists, limits: lowered }] }],
   ['an edit that reverted the other list', 'I8', /reverted the other/, { ...good, configurations: [...good.configurations, { at: 19_000, version: 2, editId: 'e2', plans: { guild: 'standard' }, limits: lowered }] }],
   ['a version that was written twice', 'I8', /after version 1/, { ...good, configurations: [...good.configurations, { at: 19_000, version: 1, editId: 'e2', ...lists }] }],
   ['an accepted edit that was never committed', 'I8', /had not committed/, withCalls(createCall('edit', 21_000, { version: 2 }, { job: undefined }))],
