--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -120,10 +120,8 @@
    *
    * @param seat - `DOMAIN.SEAT`
    */
-  findEntry (seat: string): EntryProcess {
-    const entry = this.entries.findLast(({ domain, seat: index }) => `${domain}.${index}` === seat)
-    if (entry === undefined) throw new Error(`no entry instance is in seat ${JSON.stringify(seat)}`)
-    return entry
+  findEntry (seat: string): EntryProcess | undefined {
+    return this.entries.findLast(({ domain, seat: index }) => `${domain}.${index}` === seat)
   }
 
   /**
--- /dev/null
+++ b/packages/bench/src/scenarios.ts
@@ -0,0 +1,68 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { basename, join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { cac } from 'cac'
+import { parse } from 'yaml'
+import { z } from 'zod'
+import { type Scenario, scenarioSchema } from './scenario-schema.js'
+import { ScenarioRunner } from './scenario-runner.js'
+
+const folder = fileURLToPath(new URL('../../../../scenarios', import.meta.url))
+
+interface Options {
+  readonly only?: string | readonly string[]
+  readonly list?: boolean
+  readonly seed: number
+}
+
+/**
+ * Loads all scenarios and validates them.
+ *
+ * @throws an error that names every problem of a file
+ */
+function loadScenarios (): readonly Scenario[] {
+  return readdirSync(folder).filter(file => file.endsWith('.yaml')).sort().map(file => {
+    const read = scenarioSchema.safeParse(parse(readFileSync(join(folder, file), 'utf8')))
+    if (!read.success) throw new Error(`${file}: ${z.prettifyError(read.error)}`)
+    if (`${read.data.name}.yaml` !== basename(file)) throw new Error(`${file}: the name is ${JSON.stringify(read.data.name)}, expected that of the file`)
+    return read.data
+  })
+}
+
+async function runScenarios ({ only, list, seed }: Options): Promise<number> {
+  const names = only === undefined ? undefined : typeof only === 'string' ? only.split(',') : only
+  const all = loadScenarios()
+  const unknown = names?.filter(name => !all.some(scenario => scenario.name === name)) ?? []
+  if (unknown.length > 0) throw new Error(`unknown scenarios: ${unknown.join(', ')}; known: ${all.map(({ name }) => name).join(', ')}`)
+  const selected = all.filter(({ name }) => names === undefined || names.includes(name))
+  let failed = 0
+  for (const scenario of selected) {
+    process.stdout.write(`${scenario.name} (${scenario.invariants.join(', ')}): ${scenario.faults.join('; ')}\n`)
+    if (list === true) continue
+    const startedAt = performance.now()
+    const { problems, figures } = await new ScenarioRunner(scenario, Number(seed)).run().catch((error: unknown) => ({ problems: [error instanceof Error ? error.message : String(error)], figures: {} }))
+    const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1)
+    const text = Object.entries(figures).map(([name, value]) => `${name}=${value}`).join(' ')
+    process.stdout.write(`  ${problems.length === 0 ? 'pass' : 'FAIL'} in ${seconds} s ${text}\n`)
+    for (const problem of problems.slice(0, 12)) process.stdout.write(`    ${problem}\n`)
+    if (problems.length > 12) process.stdout.write(`    and ${problems.length - 12} more\n`)
+    if (problems.length > 0) failed++
+  }
+  process.stdout.write(`${selected.length - failed} of ${selected.length} scenarios passed\n`)
+  return failed === 0 ? 0 : 1
+}
+
+const cli = cac('scenarios')
+cli.command('', 'Run the scenarios of the folder /scenarios')
+  .option('--only <name>', 'Run only this scenario; may be repeated or hold names separated by commas')
+  .option('--list', 'Print the scenarios without running them')
+  .option('--seed <number>', 'Varies the waits between steps by up to 5%', { default: 1 })
+  .action(async (options: Options) => await runScenarios(options))
+cli.help()
+try {
+  cli.parse(process.argv, { run: false })
+  process.exitCode = await (cli.runMatchedCommand() as Promise<number> | undefined) ?? 0
+} catch (error) {
+  process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`)
+  process.exitCode = 2
+}
