Add the history check with random clients and faults

Cause: faults that nobody thought of are found by random choices. Callers, operators and fault loops draw from streams of one seed.

--- /dev/null
+++ b/packages/bench/src/history.ts
@@ -0,0 +1,60 @@
+import { cac } from 'cac'
+import { type Invariant } from './history-records.js'
+import { runHistory } from './history-runner.js'
+
+interface Options {
+  readonly seed: number
+  readonly seconds: number
+  readonly callers: number
+  readonly operators: number
+  readonly faults: number
+}
+
+const invariants: readonly Invariant[] = ['I1', 'I2', 'I3', 'I4', 'I5', 'I6', 'I7', 'I8', 'I9']
+
+function print (line: string): void {
+  process.stdout.write(line + '\n')
+}
+
+function formatCounts (counts: Iterable<readonly [string, number]>): string {
+  return [...counts].map(([name, count]) => `${name}=${count}`).join(' ')
+}
+
+function countBy (names: readonly string[]): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>()
+  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1)
+  return counts
+}
+
+async function run (options: Options): Promise<number> {
+  const { seed, seconds } = options
+  const { history, operations, violations, problems } = await runHistory({ seed, seconds, callers: options.callers, operators: options.operators, faultLoops: options.faults })
+  const answers = countBy(history.calls.map(({ op, reply }) => `${op}:${reply.kind === 'answered' ? reply.status : reply.kind}`))
+  print(`seed ${seed}, ${seconds} s`)
+  print(`operations: ${formatCounts(operations)}`)
+  print(`calls: ${formatCounts([...answers].sort(([a], [b]) => a < b ? -1 : 1))}`)
+  print(`faults: ${formatCounts(countBy(history.faults.map(({ kind }) => kind)))}`)
+  print(`jobs=${history.jobs.length} starts=${history.starts.length} configurations=${history.configurations.length}`)
+  const found = countBy(violations.map(({ invariant }) => invariant))
+  print(`violations: ${formatCounts(invariants.map(invariant => [invariant, found.get(invariant) ?? 0]))}`)
+  for (const { invariant, message } of violations.slice(0, 20)) print(`  ${invariant}: ${message}`)
+  for (const problem of problems) print(`problem: ${problem}`)
+  return violations.length + problems.length === 0 ? 0 : 1
+}
+
+const cli = cac('history')
+cli.command('', 'Run random clients under random faults and check the history against the invariants')
+  .option('--seed <number>', 'Seed of all random choices', { default: 1 })
+  .option('--seconds <number>', 'Length of the run', { default: 30 })
+  .option('--callers <number>', 'Callers at work at once', { default: 10 })
+  .option('--operators <number>', 'Operators at work at once', { default: 2 })
+  .option('--faults <number>', 'Faults that may last at once', { default: 2 })
+  .action(async (options: Options) => await run(options))
+cli.help()
+try {
+  cli.parse(process.argv, { run: false })
+  process.exitCode = await (cli.runMatchedCommand() as Promise<number> | undefined) ?? 0
+} catch (error) {
+  process.stderr.write(`${error instanceof Error ? error.stack : String(error)}\n`)
+  process.exitCode = 2
+}
--- a/packages/bench/src/scenario-runner.ts
+++ b/packages/bench/src/scenario-runner.ts
@@ -1,7 +1,4 @@
 import { setTimeout as delay } from 'node:timers/promises'
-import { uniformInt } from 'pure-rand/distribution/uniformInt'
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
-import { type RandomGenerator } from 'pure-rand/types/RandomGenerator'
 import { type LimitList } from '@sesamereel/state'
 import { type CallerJob, CallerSession, type Destination, type JobPlan, type JobStanding, judgeReply } from './caller-session.js'
 import { Cluster, type EntryProcess } from './cluster.js'
@@ -10,6 +7,8 @@
 import { checkHistory } from './history-checker.js'
 import { type History, type StartRecord } from './history-records.js'
 import { type CallReply } from './http-call.js'
+import { RandomSource } from './random-source.js'
+import { runLimited } from './run-limited.js'
 import { type Bounds, type Expectations, type Scenario, type ScenarioStep, type SubmitStep } from './scenario-schema.js'
 
 /** Follow-ups of many jobs at once are limited, so that callers do not compete for the machine. */
@@ -41,7 +40,7 @@
   readonly #active: ActiveFault[] = []
   readonly #paused = new Map<string, ActiveFault>()
   readonly #problems: string[] = []
-  readonly #random: RandomGenerator
+  readonly #random: RandomSource
   #lastExitCode: number | null | undefined
   #turn = 0
 
@@ -51,7 +50,7 @@
    */
   constructor (scenario: Scenario, seed: number) {
     this.#scenario = scenario
-    this.#random = xoroshiro128plus(seed)
+    this.#random = new RandomSource(seed)
     const { domains, slots, plans, limits, delayMs } = scenario.cluster
     this.#cluster = new Cluster({
       domains: Object.entries(domains).map(([name, { seats, targets }]) => ({ name, seats, targets: targets.map(speed => ({ speed, slots })) })),
@@ -94,7 +93,7 @@
     else if ('edit' in step) await this.#edit(step.edit)
     else if ('race' in step) await this.#race(step.race)
     else if ('readLists' in step) await Promise.all(step.readLists.via.map(async seat => await this.#session.readLists(this.#findEntry(seat))))
-    else if ('wait' in step) await delay(step.wait * uniformInt(this.#random, 950, 1_050) / 1_000)
+    else if ('wait' in step) await delay(step.wait * this.#random.pickNumber(950, 1_050) / 1_000)
     else if ('mark' in step) this.#marks.set(step.mark, Date.now())
     else if ('expect' in step) this.#expect(step.expect)
     else await this.#runFaultStep(step)
@@ -341,16 +340,6 @@
   }
 }
 
-/**
- * Runs an action for each item, a limited number of them at once.
- */
-export async function runLimited<T> (items: readonly T[], limit: number, act: (item: T) => Promise<void>): Promise<void> {
-  const rest = [...items]
-  await Promise.all(Array.from({ length: Math.min(limit, rest.length) }, async () => {
-    for (let item = rest.shift(); item !== undefined; item = rest.shift()) await act(item)
-  }))
-}
-
 function readCode (reply: CallReply): string {
   if (reply.kind !== 'answered') return reply.kind
   const { name } = (reply.body ?? {}) as { name?: unknown }
--- a/packages/bench/src/scenarios.ts
+++ b/packages/bench/src/scenarios.ts
@@ -48,6 +48,7 @@
     if (problems.length > 12) process.stdout.write(`    and ${problems.length - 12} more\n`)
     if (problems.length > 0) failed++
   }
+  if (list === true) return 0
   process.stdout.write(`${selected.length - failed} of ${selected.length} scenarios passed\n`)
   return failed === 0 ? 0 : 1
 }
