--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -4,22 +4,25 @@
 import { type JobAnswer } from '@sesamereel/state'
 import { Cluster, type EntryProcess, tokens } from './cluster.js'
 import { collectStarts } from './history-builder.js'
-import { askHttp, callHttp } from './http-call.js'
+import { askHttp } from './http-call.js'
 import { programs } from './launcher.js'
 
 const taskCount = 120
 
 const domains = ['gent-1', 'gent-2', 'brugge']
 
-/** A span as `GET /v1/traces/ID` shows it; fields that are not printed are left out. */
+/** The fields of a span in the JSON form of OTLP that are printed. */
 interface Span {
-  readonly name?: string
-  readonly spanId?: string
+  readonly name: string
+  readonly spanId: string
   readonly parentSpanId?: string
-  readonly startMs?: number
-  readonly durationMs?: number
+  readonly startTimeUnixNano: string
+  readonly endTimeUnixNano: string
 }
 
+/** Spans of one name that are printed below one parent. */
+const maxShownSpans = 3
+
 function print (line: string): void {
   process.stdout.write(line + '\n')
 }
@@ -31,6 +34,10 @@
   if (!condition) throw new Error(reason)
 }
 
+function createTraceparent (traceId: string): string {
+  return `00-${traceId}-${randomBytes(8).toString('hex')}-01`
+}
+
 /** One audit of a municipality: many lookups, each with its own result. */
 function createJob (): { customer: string, tasks: ReadonlyArray<Readonly<Record<string, unknown>>> } {
   return {
@@ -50,24 +57,28 @@
 async function printTrace (entries: readonly EntryProcess[], traceId: string): Promise<void> {
   const spans = new Map<string, Span & { readonly instance: string }>()
   for (const entry of entries) {
-    const reply = await callHttp(entry.callerAddress, `/v1/traces/${traceId}`, { token: tokens.caller })
-    if (reply.kind !== 'answered' || reply.status !== 200) continue
-    for (const span of (reply.body as { spans: readonly Span[] }).spans) {
-      spans.set(String(span.spanId), { ...span, instance: entry.name })
-    }
+    const { spans: found } = await askHttp(entry.callerAddress, `/v1/traces/${traceId}`, { token: tokens.caller }) as { spans: readonly Span[] }
+    for (const span of found) spans.set(span.spanId, { ...span, instance: entry.name })
   }
   verify(spans.size > 0, `no instance has spans of trace ${traceId}`)
-  print(`\ntrace ${traceId}: ${spans.size} spans; the first hops of each kind:`)
-  const children = [...spans.values()].sort((a, b) => (a.startMs ?? 0) - (b.startMs ?? 0))
-  const shown = new Map<string, number>()
+  const instances = new Set([...spans.values()].map(({ instance }) => instance))
+  verify(instances.size > 1, `all spans of trace ${traceId} are from ${[...instances].join()}, expected a hop to another instance`)
+  print(`\ntrace ${traceId}: ${spans.size} spans at ${instances.size} instances`)
+  const ordered = [...spans.values()].sort((a, b) => Number(BigInt(a.startTimeUnixNano) - BigInt(b.startTimeUnixNano)))
   const printBelow = (parent: string | undefined, depth: number): void => {
-    for (const span of children) {
-      const isRoot = span.parentSpanId === undefined || !spans.has(span.parentSpanId)
-      if (parent === undefined ? !isRoot : span.parentSpanId !== parent) continue
-      const count = (shown.get(String(span.name)) ?? 0) + 1
-      shown.set(String(span.name), count)
-      if (count <= 3) print(`  ${'  '.repeat(depth)}${String(span.name)} at ${span.instance}, ${(span.durationMs ?? 0).toFixed(1)} ms`)
-      if (depth < 6) printBelow(span.spanId, depth + 1)
+    const shown = new Map<string, number>()
+    for (const span of ordered) {
+      const known = span.parentSpanId !== undefined && spans.has(span.parentSpanId) ? span.parentSpanId : undefined
+      if (known !== parent) continue
+      const count = (shown.get(span.name) ?? 0) + 1
+      shown.set(span.name, count)
+      if (count > maxShownSpans) continue
+      const durationMs = Number(BigInt(span.endTimeUnixNano) - BigInt(span.startTimeUnixNano)) / 1e6
+      print(`  ${'  '.repeat(depth)}${span.name} at ${span.instance}, ${durationMs.toFixed(1)} ms`)
+      printBelow(span.spanId, depth + 1)
+    }
+    for (const [name, count] of shown) {
+      if (count > maxShownSpans) print(`  ${'  '.repeat(depth)}and ${count - maxShownSpans} more spans ${name}`)
     }
   }
   printBelow(undefined, 0)
@@ -85,7 +96,7 @@
   const traceId = randomBytes(16).toString('hex')
   const submitted = await launcher.runProgram(
     [programs.commandLine, 'submit', file, '--server', balancer.addresses['api']!, '--token', tokens.caller, '--json'],
-    { TRACEPARENT: `00-${traceId}-${randomBytes(8).toString('hex')}-01` }
+    { TRACEPARENT: createTraceparent(traceId) }
   )
   verify(submitted.code === 0, `sesamereel submit ended with exit code ${String(submitted.code)}: ${submitted.stdout}${submitted.stderr}`)
   const outcome = JSON.parse(submitted.stdout) as { key: string, answer: JobAnswer }
@@ -98,7 +109,7 @@
 
   const owner = outcome.key.split('.').slice(0, 2).join('.')
   const other = entries.find(({ domain, seat }) => `${domain}.${seat}` !== owner)!
-  const again = await askHttp(other.callerAddress, '/v1/jobs?waitMs=10000', { method: 'POST', token: tokens.caller, body: { key: outcome.key, ...job } })
+  const again = await askHttp(other.callerAddress, '/v1/jobs?waitMs=10000', { method: 'POST', token: tokens.caller, body: { key: outcome.key, ...job }, headers: { traceparent: createTraceparent(traceId) } })
   verify(JSON.stringify(again) === JSON.stringify(answer), `resubmitted through ${other.name}, the job got another answer: ${JSON.stringify(again).slice(0, 300)}`)
   print(`\nresubmitted through ${other.name}: the same answer`)
 
