--- a/packages/bench/src/launcher.ts
+++ b/packages/bench/src/launcher.ts
@@ -63,7 +63,11 @@
 export class ProcessLauncher {
   readonly folder = mkdtempSync(join(tmpdir(), 'sesamereel-'))
   readonly #processes = new Map<string, LaunchedProcess>()
-  readonly #endAtExit = (): void => { this.#endAll() }
+  readonly #endAtExit = (): void => {
+    this.#endAll()
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
   readonly #endAtSignal = (): void => { process.exit(130) }
 
   constructor () {
--- a/packages/bench/test/launcher.test.ts
+++ b/packages/bench/test/launcher.test.ts
@@ -29,21 +29,24 @@
   assert.ok(!existsSync(launcher.folder))
 })
 
-// Guards against stand-ins that outlive a run that failed: the next run would meet busy ports.
+// Guards against stand-ins and folders that outlive a run that failed.
 test('processes end when the program that launched them fails', async () => {
   const script = `import { ProcessLauncher } from ${JSON.stringify(new URL('../src/launcher.js', import.meta.url).href)}
-    const launched = await new ProcessLauncher().startStandIn('t1', 'target', { id: 't1' })
-    console.log(launched.child.pid)
+    const launcher = new ProcessLauncher()
+    const launched = await launcher.startStandIn('t1', 'target', { id: 't1' })
+    console.log(launched.child.pid + ' ' + launcher.folder)
     throw new Error('failed on purpose')`
   const child = spawn(process.execPath, ['--input-type=module', '-e', script], { stdio: ['ignore', 'pipe', 'ignore'] })
   let output = ''
   child.stdout.on('data', chunk => { output += String(chunk) })
   const [code] = await once(child, 'close') as [number]
   assert.notEqual(code, 0)
-  const pid = Number(output.trim())
+  const [pidText, folder] = output.trim().split(' ') as [string, string]
+  const pid = Number(pidText)
   assert.ok(pid > 0)
   for (let i = 0; i < 50 && isAlive(pid); i++) await delay(50)
   assert.ok(!isAlive(pid))
+  assert.ok(!existsSync(folder))
 })
 
 // Guards against callers that take an unknown outcome for "nothing was sent": the checker of I4 depends on it.
