Add the sesamereel command line and its client library

Callers and operators had no program to reach an instance. The client asks for keys in blocks, submits with long polls, and repeats the same key and body through any given server after a lost reply or an unknown outcome; it calls a job not run only when no earlier copy can still be admitted. List edits are a compare-and-set on the version with an edit id, which is read back after a lost reply.

--- /dev/null
+++ b/packages/cli/src/check-command.ts
@@ -0,0 +1,73 @@
+import { type ListName, type Settings } from '@sesamereel/protocol'
+import { type LimitList, type PlanList } from '@sesamereel/state'
+import { type CommandContext, CommandError } from './command-context.js'
+import { listClashes, listSettingsProblems, listUnknownPlans, listUselessLimits } from './cross-checks.js'
+import { exitCodes } from './exit-codes.js'
+import { formatCount } from './format-table.js'
+import { fileSchemas, formatProblems, listListProblems, readJsonFile, readListFile } from './input-files.js'
+import { listProblems, type Problem } from './problems.js'
+
+export interface CheckFlags {
+  /** One or more settings files; several are also compared with each other. */
+  readonly settings?: string | readonly string[]
+  readonly plans?: string
+  readonly limits?: string
+  readonly job?: string
+  readonly json?: boolean
+}
+
+/** Problems of each checked file, by file name. */
+type Findings = Map<string, readonly Problem[]>
+
+/**
+ * Checks files without any server and prints every problem at once.
+ *
+ * @returns the exit code
+ */
+export async function runCheck (context: CommandContext, flags: CheckFlags): Promise<number> {
+  const findings: Findings = new Map()
+  const settingsFiles = flags.settings === undefined ? [] : typeof flags.settings === 'string' ? [flags.settings] : flags.settings
+  await checkSettings(context, settingsFiles, findings)
+  await checkLists(context, flags, findings)
+  if (flags.job !== undefined) findings.set(flags.job, listProblems(fileSchemas.job, await readJsonFile(context, flags.job)))
+  if (findings.size === 0) throw new CommandError('nothing to check: use --settings, --plans, --limits or --job FILE', exitCodes.invalidInput.code)
+  const wrong = [...findings].filter(([, problems]) => problems.length > 0)
+  if (flags.json === true) {
+    context.print(JSON.stringify([...findings].map(([file, problems]) => ({ file, problems }))))
+  } else {
+    for (const [file, problems] of wrong) for (const line of formatProblems(file, problems)) context.print(line)
+    if (wrong.length === 0) context.print(`${formatCount(findings.size, 'file')} checked, no problems`)
+  }
+  return wrong.length === 0 ? exitCodes.success.code : exitCodes.invalidInput.code
+}
+
+async function checkSettings (context: CommandContext, files: readonly string[], findings: Findings): Promise<void> {
+  const valid: Array<{ file: string, settings: Settings }> = []
+  for (const file of files) {
+    const input = await readJsonFile(context, file)
+    const problems = listProblems(fileSchemas.settings, input)
+    if (problems.length === 0) {
+      const settings = fileSchemas.settings.parse(input)
+      valid.push({ file, settings })
+      findings.set(file, listSettingsProblems(settings))
+    } else {
+      findings.set(file, problems)
+    }
+  }
+  for (const [file, problems] of listClashes(valid)) findings.set(file, [...findings.get(file)!, ...problems])
+}
+
+async function checkLists (context: CommandContext, flags: CheckFlags, findings: Findings): Promise<void> {
+  for (const list of ['plans', 'limits'] as const satisfies readonly ListName[]) {
+    const file = flags[list]
+    if (file !== undefined) findings.set(file, listListProblems(list, await readJsonFile(context, file)))
+  }
+  const { plans, limits } = flags
+  const isValid = (file: string | undefined): file is string => file !== undefined && findings.get(file)!.length === 0
+  if (!isValid(limits)) return
+  const limitList = (await readListFile(context, 'limits', limits)).content as LimitList
+  findings.set(limits, listUselessLimits(limitList))
+  if (!isValid(plans)) return
+  const planList = (await readListFile(context, 'plans', plans)).content as PlanList
+  findings.set(plans, listUnknownPlans(planList, limitList))
+}
--- /dev/null
+++ b/packages/cli/src/command-line.ts
@@ -0,0 +1,74 @@
+import { cac, type CAC, type Command } from 'cac'
+import { type ListName } from '@sesamereel/protocol'
+import { type CheckFlags, runCheck } from './check-command.js'
+import { type CommandContext } from './command-context.js'
+import { runExplain } from './explain-command.js'
+import { type JobFlags, runCancel, runFetch, runSubmit } from './job-commands.js'
+import { type ListFlags, runList } from './list-commands.js'
+import { runStatus, type StatusFlags } from './status-command.js'
+
+const exitCodeHelp = 'Exit codes: 0 success, 1 job failed, 2 invalid input, 3 refused, 4 outcome unknown,\n5 conflict, 6 no server reached, 7 still running, 130 interrupted. See docs/exit-codes.md.'
+
+/**
+ * Creates the command line. Actions return a promise of the exit code.
+ *
+ * @param context - what the commands use of the process
+ * @returns the command line, to be parsed with `run: false`
+ */
+export function createCommandLine (context: CommandContext): CAC {
+  const cli = cac('sesamereel')
+
+  addConnection(cli.command('submit <file>', 'Submit the job in FILE ("-": standard input) and print its answer'))
+    .option('--timeout <seconds>', 'Time to wait for the answer; the job itself goes on')
+    .example('  sesamereel submit audit.json --server 10.0.1.4:7400\n  echo \'{"customer":"kalibra","tasks":[{"kind":"lookup","payload":{"meter":"W-311"},\n    "demand":{"processors":500,"memoryMb":256,"accelerators":0}}]}\' | sesamereel submit - --json')
+    .action(async (file: string, flags: JobFlags) => await runSubmit(context, file, flags))
+
+  addConnection(cli.command('fetch <key>', 'Wait for the answer of a job that was submitted earlier'))
+    .option('--timeout <seconds>', 'Time to wait for the answer; 0 asks once')
+    .example('  sesamereel fetch gent-1.0.k3j9x2ab.17')
+    .action(async (key: string, flags: JobFlags) => await runFetch(context, key, flags))
+
+  addConnection(cli.command('cancel <key>', 'Cancel a job; tasks that have started may have run'))
+    .example('  sesamereel cancel gent-1.0.k3j9x2ab.17')
+    .action(async (key: string, flags: JobFlags) => await runCancel(context, key, flags))
+
+  addListCommand(cli, context, 'plans', 'customer and its plan')
+  addListCommand(cli, context, 'limits', 'plan and its limits')
+
+  cli.command('check', 'Check files without a server and show every problem at once')
+    .option('--settings <file>', 'Settings of an instance; repeatable, then also compared with each other')
+    .option('--plans <file>', 'Plans list')
+    .option('--limits <file>', 'Limits list; with --plans, every plan must have a limit')
+    .option('--job <file>', 'Job file')
+    .option('--json', 'Print JSON')
+    .example('  sesamereel check --settings gent-1.0.json --settings gent-1.1.json\n  sesamereel check --plans plans.json --limits limits.json')
+    .action(async (flags: CheckFlags) => await runCheck(context, flags))
+
+  addConnection(cli.command('status', 'Show instances, targets, shares and configuration versions'))
+    .example('  sesamereel status --server 10.0.1.4:7400')
+    .action(async (flags: StatusFlags) => await runStatus(context, flags))
+
+  cli.command('explain [code]', 'Explain a result code by number or name; without one, list all')
+    .example('  sesamereel explain 300\n  sesamereel explain KeyExpired')
+    .action((code: string | undefined) => runExplain(context, code))
+
+  cli.help(sections => [...sections, { title: '', body: exitCodeHelp }])
+  return cli
+}
+
+function addConnection (command: Command): Command {
+  return command
+    .option('--server <address>', 'IP:PORT of a server; repeatable. Default: SESAMEREEL_SERVER')
+    .option('--token <token>', 'Token of the caller or operator. Default: SESAMEREEL_TOKEN')
+    .option('--json', 'Print one JSON value')
+}
+
+function addListCommand (cli: CAC, context: CommandContext, list: ListName, entry: string): void {
+  addConnection(cli.command(`${list} <action> [file]`, `Get, diff or apply the ${list} list (${entry})`))
+    .usage(`${list} get | diff FILE | apply FILE`)
+    .option('--out <file>', 'get: write the list and its version to a file')
+    .option('--base <version>', 'apply: version the file was made from, if it does not say so')
+    .option('--dry-run', 'apply: check the edit, write nothing')
+    .example(`  sesamereel ${list} get --out ${list}.json\n  sesamereel ${list} diff ${list}.json\n  sesamereel ${list} apply ${list}.json --dry-run\n  sesamereel ${list} apply ${list}.json`)
+    .action(async (action: string, file: string | undefined, flags: ListFlags) => await runList(context, list, action, file, flags))
+}
--- /dev/null
+++ b/packages/cli/src/explain-command.ts
@@ -0,0 +1,23 @@
+import { resultCodes, type ResultCode } from '@sesamereel/state'
+import { type CommandContext, CommandError } from './command-context.js'
+import { exitCodes } from './exit-codes.js'
+import { formatTable } from './format-table.js'
+
+/**
+ * Explains a result code, given by number or name; lists all of them without one.
+ *
+ * @returns the exit code
+ */
+export function runExplain (context: CommandContext, code: string | undefined): number {
+  const rows: readonly ResultCode[] = Object.values(resultCodes)
+  if (code === undefined) {
+    for (const line of formatTable(rows.map(row => [String(row.code), row.name, row.title]))) context.print(line)
+    return exitCodes.success.code
+  }
+  const row = rows.find(candidate => String(candidate.code) === code || candidate.name.toLowerCase() === code.toLowerCase())
+  if (row === undefined) throw new CommandError(`unknown result code "${code}"; "sesamereel explain" lists all codes`, exitCodes.invalidInput.code)
+  context.print(`${row.code} ${row.name}: ${row.title}.`)
+  context.print(`  ${row.notRun ? 'Nothing of the request was or will be run.' : 'It makes no claim about whether anything was run.'}`)
+  context.print(`  ${row.hint}`)
+  return exitCodes.success.code
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export * from './job-client.js'
+export * from './job-outcome.js'
+export * from './http-caller.js'
+export * from './list-diff.js'
+export * from './operator-client.js'
+export * from './trace.js'
+export { type KeyReply } from './key-pool.js'
--- /dev/null
+++ b/packages/cli/src/input-files.ts
@@ -0,0 +1,97 @@
+import { jobSpecSchema, limitListSchema, type ListName, planListSchema, settingsSchema } from '@sesamereel/protocol'
+import { z } from 'zod'
+import { type CommandContext, CommandError, standardInput } from './command-context.js'
+import { exitCodes } from './exit-codes.js'
+import { formatTable } from './format-table.js'
+import { type JobRequest } from './job-outcome.js'
+import { type ListContent } from './list-diff.js'
+import { listProblems, type Problem } from './problems.js'
+
+const versionSchema = z.int().min(0)
+
+/** Schemas of all files that the program reads, by the name of their committed JSON Schema. */
+export const fileSchemas = {
+  job: jobSpecSchema.omit({ key: true }),
+  plans: z.union([z.strictObject({ version: versionSchema, plans: planListSchema }), planListSchema]),
+  limits: z.union([z.strictObject({ version: versionSchema, limits: limitListSchema }), limitListSchema]),
+  settings: settingsSchema
+} as const
+
+/** A list file: the list alone, or with the version that it was got at. */
+export interface ListFile {
+  readonly version?: number
+  readonly content: ListContent
+}
+
+/**
+ * Reads a file as JSON.
+ *
+ * @throws CommandError when the file cannot be read or is not JSON
+ */
+export async function readJsonFile (context: CommandContext, file: string): Promise<unknown> {
+  const name = file === standardInput ? 'standard input' : file
+  let content: string
+  try {
+    content = await context.readText(file)
+  } catch (error) {
+    throw new CommandError(`${name} cannot be read: ${(error as Error).message}`, exitCodes.invalidInput.code)
+  }
+  try {
+    return JSON.parse(content)
+  } catch (error) {
+    throw new CommandError(`${name} is not JSON: ${(error as Error).message}`, exitCodes.invalidInput.code)
+  }
+}
+
+/**
+ * Reads a job file.
+ *
+ * @throws CommandError with every problem of the file
+ */
+export async function readJobFile (context: CommandContext, file: string): Promise<JobRequest> {
+  const input = await readJsonFile(context, file)
+  refuseProblems(file, listProblems(fileSchemas.job, input))
+  return input as JobRequest
+}
+
+/**
+ * Reads a file with one of the two lists.
+ *
+ * @throws CommandError with every problem of the file
+ */
+export async function readListFile (context: CommandContext, list: ListName, file: string): Promise<ListFile> {
+  const input = await readJsonFile(context, file)
+  refuseProblems(file, listListProblems(list, input))
+  return isVersioned(input) ? { version: input.version, content: input[list] as ListContent } : { content: input as ListContent }
+}
+
+/**
+ * Lists the problems of a list file. A numeric field `version` decides which of the two forms
+ * it has, since neither list has numbers as values.
+ *
+ * @returns the problems; empty when the file is valid
+ */
+export function listListProblems (list: ListName, input: unknown): readonly Problem[] {
+  const [versioned, plain] = fileSchemas[list].options
+  return listProblems(isVersioned(input) ? versioned : plain, input)
+}
+
+/**
+ * Formats problems as aligned lines.
+ *
+ * @param file - name of the file
+ * @param problems - its problems
+ * @returns a heading and one line for each problem
+ */
+export function formatProblems (file: string, problems: readonly Problem[]): readonly string[] {
+  const rows = problems.map(({ path, found, expected }) => [path, `found ${found},`, `expected ${expected}`])
+  return [`${file}: ${problems.length === 1 ? '1 problem' : `${problems.length} problems`}`, ...formatTable(rows, { indent: '  ' })]
+}
+
+function isVersioned (input: unknown): input is { readonly version: number } & Readonly<Record<string, unknown>> {
+  return typeof input === 'object' && input !== null && typeof (input as { version?: unknown }).version === 'number'
+}
+
+function refuseProblems (file: string, problems: readonly Problem[]): void {
+  if (problems.length > 0) throw new CommandError(formatProblems(file, problems).join('\n'), exitCodes.invalidInput.code)
+}
--- /dev/null
+++ b/packages/cli/test/job-client.test.ts
@@ -0,0 +1,92 @@
+import { test, type TestContext } from 'node:test'
+import assert from 'node:assert/strict'
+import { JobClient, type JobClientOptions } from '../src/index.js'
+import { completeAnswer, createError, type FakeReply, type FakeServer, issueKey, type SeenRequest, startFakeServer, testKey } from './fake-server.js'
+
+const request = { customer: 'kalibra', tasks: [{ kind: 'lookup' }] }
+
+async function start (context: TestContext, handle: (request: SeenRequest, count: number) => FakeReply): Promise<FakeServer> {
+  const server = await startFakeServer(handle)
+  context.after(server.close)
+  return server
+}
+
+function createClient (context: TestContext, servers: readonly FakeServer[], options: Partial<JobClientOptions> = {}): JobClient {
+  const client = new JobClient({ servers: servers.map(server => server.address), token: 'caller-token-0001', ...options })
+  context.after(async () => { await client.close() })
+  return client
+}
+
+// Guards against a second key, or a changed body, for work whose first reply was lost.
+test('a lost reply is followed by the same key and body through the other server', async context => {
+  const first = await start(context, seen => seen.path === '/v1/keys' ? issueKey : 'reset')
+  const second = await start(context, () => completeAnswer)
+  const client = createClient(context, [first, second])
+  const outcome = await client.submit(request)
+  assert.equal(outcome.kind, 'answered')
+  const submissions = [...first.seen, ...second.seen].filter(seen => seen.path.startsWith('/v1/jobs'))
+  assert.equal(submissions.length, 2)
+  assert.equal(submissions[0]!.body, submissions[1]!.body)
+  assert.deepEqual(client.readCounts(), { askKeys: 1, submit: 1, resubmit: 1, wait: 0, cancel: 0, lost: 1 })
+})
+
+// Guards against a client that waits forever on a connection that accepts requests and never replies.
+test('a server that hangs is left at the deadline', async context => {
+  const hanging = await start(context, seen => seen.path === '/v1/keys' ? issueKey : 'hang')
+  const other = await start(context, () => completeAnswer)
+  const client = createClient(context, [hanging, other], { waitMs: 50, replyMs: 200 })
+  const startedAt = performance.now()
+  assert.equal((await client.submit(request)).kind, 'answered')
+  assert.ok(performance.now() - startedAt < 2_000)
+})
+
+// Guards against "not run" for a job whose first, lost submission may still be admitted.
+test('a refusal after a lost reply is not reported as proof that nothing was run', async context => {
+  const server = await start(context, (seen, count) => seen.path === '/v1/keys' ? issueKey : count === 2 ? 'reset' : createError('QueueFull'))
+  assert.equal((await createClient(context, [server]).submit(request)).kind, 'unknown')
+  const refusing = await start(context, seen => seen.path === '/v1/keys' ? issueKey : createError('QueueFull'))
+  assert.equal((await createClient(context, [refusing]).submit(request)).kind, 'refused')
+})
+
+// Guards against giving up on passing errors, and against giving up on a job that its owner does not know yet.
+test('passing errors and an unknown job are followed by the same submission', async context => {
+  const replies: readonly FakeReply[] = [
+    issueKey, createError('Leaving'), createError('OutcomeUnknown'),
+    { status: 202, body: { state: 'running', key: testKey, done: 0, total: 1 } }, createError('JobUnknown'), completeAnswer
+  ]
+  const server = await start(context, (_, count) => replies[count - 1]!)
+  const outcome = await createClient(context, [server]).submit(request)
+  assert.equal(outcome.kind, 'answered')
+  assert.deepEqual(server.seen.map(seen => seen.method), ['POST', 'POST', 'POST', 'POST', 'GET', 'POST'])
+  assert.equal(new Set(server.seen.slice(1).filter(seen => seen.method === 'POST').map(seen => seen.body)).size, 1)
+})
+
+// Guards against a final "owner gone" that is asked about again, or that is called not run.
+test('an owner that is gone ends with an unknown outcome', async context => {
+  const server = await start(context, seen => seen.path === '/v1/keys' ? issueKey : createError('OwnerGone'))
+  const outcome = await createClient(context, [server]).submit(request)
+  assert.equal(outcome.kind, 'unknown')
+  assert.equal(server.seen.length, 2)
+})
+
+// Guards against one request for keys for each of many jobs that start together.
+test('jobs that start together share a block of keys', async context => {
+  let next = 0
+  const server = await start(context, seen => {
+    if (seen.path !== '/v1/keys') return completeAnswer
+    const { count } = JSON.parse(seen.body) as { count: number }
+    return { status: 200, body: { keys: Array.from({ length: count }, () => `gent-1.0.k3j9x2ab.${next++}`), expiresInMs: 3_600_000 } }
+  })
+  const client = createClient(context, [server], { keyBlock: 10 })
+  const outcomes = await Promise.all(Array.from({ length: 10 }, async () => await client.submit(request)))
+  assert.equal(new Set(outcomes.map(outcome => 'key' in outcome ? outcome.key : undefined)).size, 10)
+  assert.equal(client.readCounts().askKeys, 1)
+})
+
+// Guards against a client that hides that no server could be reached.
+test('without any server the job is reported as not sent', async context => {
+  const server = await start(context, () => 'reset')
+  server.close()
+  const client = createClient(context, [server])
+  assert.equal((await client.submitWithKey(testKey, request, { timeoutMs: 300 })).kind, 'unreachable')
+})
--- /dev/null
+++ b/packages/cli/test/run-program.test.ts
@@ -0,0 +1,114 @@
+import { test, type TestContext } from 'node:test'
+import assert from 'node:assert/strict'
+import { type CommandContext, standardInput } from '../src/command-context.js'
+import { createCommandLine } from '../src/command-line.js'
+import { runProgram } from '../src/run-program.js'
+import { completeAnswer, createError, type FakeReply, issueKey, type SeenRequest, startFakeServer, testKey } from './fake-server.js'
+
+interface Run {
+  readonly code: number
+  readonly output: string
+  readonly errors: string
+}
+
+async function run (args: readonly string[], files: Readonly<Record<string, unknown>> = {}, server = '127.0.0.1:1'): Promise<Run> {
+  const output: string[] = []
+  const errors: string[] = []
+  const context: CommandContext = {
+    print: line => { output.push(line) },
+    printError: line => { errors.push(line) },
+    environment: { SESAMEREEL_SERVER: server, SESAMEREEL_TOKEN: 'test-token-000001' },
+    readText: async file => {
+      if (!(file in files)) throw new Error('no such file')
+      const content = files[file]
+      return typeof content === 'string' ? content : JSON.stringify(content)
+    },
+    signal: new AbortController().signal
+  }
+  const code = await runProgram(context, args)
+  return { code, output: output.join('\n'), errors: errors.join('\n') }
+}
+
+async function start (context: TestContext, handle: (request: SeenRequest) => FakeReply): Promise<string> {
+  const server = await startFakeServer(handle)
+  context.after(server.close)
+  return server.address
+}
+
+const job = { customer: 'kalibra', tasks: [{ kind: 'lookup', demand: { processors: 1, memoryMb: 1, accelerators: 0 } }] }
+
+// Guards against exit codes that do not follow docs/exit-codes.md.
+test('submit ends with the exit code of its outcome', async context => {
+  const withReply = async (reply: FakeReply): Promise<Run> => {
+    const server = await start(context, seen => seen.path === '/v1/keys' ? issueKey : reply)
+    return await run(['submit', '-', '--json', '--timeout', '1'], { [standardInput]: job }, server)
+  }
+  const complete = await withReply(completeAnswer)
+  assert.equal(complete.code, 0)
+  assert.deepEqual(JSON.parse(complete.output).answer.results, [1])
+  assert.equal((await withReply({ status: 200, body: { state: 'failed', key: testKey, failure: { code: 400, message: 'x', taskIndex: 0 } } })).code, 1)
+  assert.equal((await withReply(createError('DemandAbovePlan'))).code, 3)
+  assert.equal((await withReply(createError('OwnerGone'))).code, 4)
+  assert.equal((await withReply({ status: 202, body: { state: 'running', key: testKey, done: 0, total: 1 } })).code, 7)
+  assert.equal((await run(['submit', 'missing.json'])).code, 2)
+})
+
+// Guards against a job file that is sent although it is wrong, and against problems shown one by one.
+test('every problem of a job file is shown at once', async () => {
+  const { code, errors } = await run(['submit', 'job.json'], { 'job.json': { customer: '?', tasks: [{ kind: 'a', demand: { processors: -1, memoryMb: 'x' } }] } })
+  assert.equal(code, 2)
+  for (const path of ['customer', 'tasks[0].demand.processors', 'tasks[0].demand.memoryMb', 'tasks[0].demand.accelerators']) assert.match(errors, new RegExp(path.replace(/[[\]]/g, '\\$&')))
+})
+
+// Guards against settings that an instance would refuse, clashes between instances, and tokens in the output.
+test('check shows all problems of settings and lists without secrets', async () => {
+  const settings = {
+    domain: 'gent-1',
+    seat: 5,
+    topology: { domains: [{ name: 'gent-1', seats: 3 }] },
+    callerAddress: '127.0.0.1:1',
+    peerAddress: '127.0.0.1:2',
+    platform: { address: '127.0.0.1:3' },
+    callers: [{ token: 'caller-token-0001', customers: '*' }],
+    operatorToken: 'operator-token-01',
+    peerToken: 'peer-token-000001'
+  }
+  const broken = { ...settings, operatorToken: 'hidden', placement: 'fast', platform: { address: 'host:3' } }
+  const other = { ...settings, peerToken: 'peer-token-000002' }
+  const { code, output } = await run(
+    ['check', '--settings', 'a.json', '--settings', 'b.json', '--settings', 'c.json', '--plans', 'plans.json', '--limits', 'limits.json'],
+    { 'a.json': broken, 'b.json': settings, 'c.json': other, 'plans.json': { kalibra: 'gold' }, 'limits.json': { version: 3, limits: {} } }
+  )
+  assert.equal(code, 2)
+  for (const pattern of [/operatorToken .*6 characters.*at least 16/, /placement .*unknown field/, /platform.address .*IP:PORT/, /seat .*found 5, .*0 to 2/, /peerToken .*b\.json/, /kalibra .*"gold"/]) assert.match(output, pattern)
+  assert.doesNotMatch(output, /hidden/)
+})
+
+// Guards against an edit without a base version, which would undo the edits of others unseen.
+test('apply needs a base version and reports a conflict with its changes', async context => {
+  const server = await start(context, seen => seen.method === 'PUT' ? createError('ListConflict') : { status: 200, body: { version: 7, editId: 'other-edit', plans: { guild: 'a' }, limits: {} } })
+  assert.equal((await run(['plans', 'apply', 'p.json'], { 'p.json': { guild: 'b' } }, server)).code, 2)
+  const conflict = await run(['plans', 'apply', 'p.json'], { 'p.json': { version: 6, plans: { guild: 'b' } } }, server)
+  assert.equal(conflict.code, 5)
+  assert.match(conflict.errors, /~ {2}guild {2}a -> b/)
+  assert.match(conflict.errors, /other-edit/)
+})
+
+// Guards against status fields that are dropped from the output, and against misaligned columns.
+test('status shows groups as aligned tables', async context => {
+  const server = await start(context, () => ({ status: 200, body: { version: 7, targets: [{ id: 't1', health: 'ejected', freeSlots: 8 }, { id: 't10', health: 'ok', freeSlots: 12 }] } }))
+  const { code, output } = await run(['status'], {}, server)
+  assert.equal(code, 0)
+  assert.match(output, /^ {2}id {3}health {3}free slots\n {2}t1 {3}ejected {11}8\n {2}t10 {2}ok {15}12$/m)
+})
+
+// Guards against a command without an example, and against wrong options that are ignored.
+test('each command has an example, and wrong options are refused', async () => {
+  const cli = createCommandLine({ environment: {} } as unknown as CommandContext)
+  assert.ok(cli.commands.length >= 8)
+  for (const command of cli.commands) assert.ok(command.examples.length > 0, command.name)
+  for (const args of [['submit', 'x', '--serer', 'y'], ['submit'], ['nothing'], ['explain', '999'], ['submit', 'x', '--server', 'host:1']]) {
+    assert.equal((await run(args)).code, 2, args.join(' '))
+  }
+  assert.match((await run(['explain', 'keyexpired'])).output, /302 KeyExpired/)
+})
