Add the workload, the ideal bound and the load client of the bench

The bench needs a seeded open-loop load, a lower bound of each job's response time and clients that are not the bottleneck. Keys are asked for before a block is used up.

--- /dev/null
+++ b/packages/bench/src/load-client.ts
@@ -0,0 +1,134 @@
+import { readFileSync, writeFileSync } from 'node:fs'
+import { monitorEventLoopDelay } from 'node:perf_hooks'
+import { setTimeout as delay } from 'node:timers/promises'
+import { type ClientCounts, JobClient, type JobOutcome } from '@sesamereel/cli'
+import { findLimit, type ResourceVector } from '@sesamereel/state'
+import { computeIdeal } from './load-ideal.js'
+import { createJob, type LoadJob } from './load-jobs.js'
+import { type ClientPlan, clientPlanSchema } from './load-plan.js'
+import { listPlans, profiles } from './load-profiles.js'
+import { LoadRandom } from './load-random.js'
+import { computeSummary, type JobSample, type Summary } from './load-samples.js'
+
+/** What one load client process reports. */
+export interface ClientResult {
+  readonly samples: readonly JobSample[]
+  readonly counts: ClientCounts
+  /** Delay of the event loop of the client in milliseconds. */
+  readonly loopDelay: { readonly p50: number, readonly p99: number, readonly max: number }
+  /** From the planned arrival of a job to its submission, in milliseconds. */
+  readonly lateness: Summary
+  /** Part of a core that the client used. */
+  readonly cores: number
+}
+
+const keyBlock = 100
+
+/** Submits jobs at the planned times, whatever becomes of the earlier ones. */
+class LoadClient {
+  readonly #plan: ClientPlan
+  readonly #random: LoadRandom
+  readonly #clients: readonly JobClient[]
+  readonly #limits: ReadonlyMap<string, ResourceVector>
+  readonly #samples: JobSample[] = []
+  readonly #lateness: number[] = []
+  readonly #open = new Map<number, { readonly arrivalMs: number, readonly job: LoadJob }>()
+
+  constructor (plan: ClientPlan) {
+    this.#plan = plan
+    this.#random = new LoadRandom(plan.seed)
+    // One client for each server, used in turn, stands for the platform's load balancer.
+    this.#clients = plan.servers.map((_, startServer) => new JobClient({ servers: plan.servers, startServer, token: plan.token, keyBlock }))
+    const profile = profiles[plan.profile]
+    const configuration = { version: 1, editId: '', plans: listPlans(profile), limits: profile.limits }
+    this.#limits = new Map(profile.customers.map(({ name }) => [name, findLimit(configuration, name)!]))
+  }
+
+  async run (): Promise<ClientResult> {
+    const monitor = monitorEventLoopDelay({ resolution: 1 })
+    await delay(Math.max(0, this.#plan.startAt - Date.now()))
+    const usage = process.cpuUsage()
+    const startedAt = performance.now() - (Date.now() - this.#plan.startAt)
+    monitor.enable()
+    await this.#submitAll(startedAt)
+    monitor.disable()
+    const { user, system } = process.cpuUsage(usage)
+    const cores = (user + system) / 1_000 / (performance.now() - startedAt)
+    const deadline = performance.now() + this.#plan.graceMs
+    while (this.#open.size > 0 && performance.now() < deadline) await delay(20)
+    for (const { arrivalMs, job } of this.#open.values()) this.#record(arrivalMs, performance.now() - startedAt - arrivalMs, job, 'pending')
+    return {
+      samples: this.#samples,
+      counts: sumCounts(this.#clients.map(client => client.readCounts())),
+      loopDelay: { p50: monitor.percentile(50) / 1e6, p99: monitor.percentile(99) / 1e6, max: monitor.max / 1e6 },
+      lateness: computeSummary(this.#lateness),
+      cores
+    }
+  }
+
+  async #submitAll (startedAt: number): Promise<void> {
+    const meanGapMs = 1_000 / this.#plan.jobsPerSecond
+    let arrivalMs = this.#random.sampleExponential(meanGapMs)
+    for (let number = 0; arrivalMs < this.#plan.durationMs; number++) {
+      const early = startedAt + arrivalMs - performance.now()
+      if (early > 0) await delay(early)
+      this.#submit(number, arrivalMs, startedAt)
+      arrivalMs += this.#random.sampleExponential(meanGapMs)
+    }
+  }
+
+  #submit (number: number, arrivalMs: number, startedAt: number): void {
+    const job = createJob(this.#random, profiles[this.#plan.profile], `${this.#plan.name}.${number}`)
+    const client = this.#clients[number % this.#clients.length]!
+    this.#open.set(number, { arrivalMs, job })
+    this.#lateness.push(Math.max(0, performance.now() - startedAt - arrivalMs))
+    const timeoutMs = this.#plan.durationMs + this.#plan.graceMs
+    client.submit({ customer: job.customer, repeatable: job.repeatable, tasks: job.tasks }, { timeoutMs }).then(outcome => {
+      if (this.#open.delete(number)) this.#record(arrivalMs, performance.now() - startedAt - arrivalMs, job, classifyOutcome(outcome, job))
+    }, (error: unknown) => {
+      this.#open.delete(number)
+      this.#record(arrivalMs, 0, job, `client error ${String(error)}`)
+    })
+  }
+
+  #record (arrivalMs: number, responseMs: number, job: LoadJob, outcome: string): void {
+    const idealMs = computeIdeal({
+      tasks: job.tasks.map(task => ({ workMs: task.payload.workMs, demand: task.demand })),
+      limit: this.#limits.get(job.customer)!,
+      slotSpeeds: this.#plan.slotSpeeds,
+      clientDelayMs: profiles[this.#plan.profile].clientDelayMs
+    })
+    this.#samples.push({ arrivalMs, responseMs, idealMs, customer: job.customer, tasks: job.tasks.length, outcome })
+  }
+}
+
+/**
+ * Classifies an outcome; a complete answer with any other result than those of its own tasks is `wrong`.
+ */
+function classifyOutcome (outcome: JobOutcome, job: LoadJob): string {
+  switch (outcome.kind) {
+    case 'answered': {
+      const { answer } = outcome
+      if (answer.state === 'failed') return `failed ${answer.failure.code}`
+      const isOwn = answer.results.length === job.tasks.length && job.tasks.every((task, index) => answer.results[index] === task.payload.result)
+      return isOwn ? 'complete' : 'wrong'
+    }
+    case 'refused':
+      return `refused ${outcome.error.code}`
+    case 'unknown':
+      return `unknown ${outcome.error?.code ?? ''}`.trim()
+    default:
+      return outcome.kind
+  }
+}
+
+function sumCounts (all: readonly ClientCounts[]): ClientCounts {
+  const sum = (name: keyof ClientCounts): number => all.reduce((total, counts) => total + counts[name], 0)
+  return { askKeys: sum('askKeys'), submit: sum('submit'), resubmit: sum('resubmit'), wait: sum('wait'), cancel: sum('cancel'), lost: sum('lost') }
+}
+
+const plan = clientPlanSchema.parse(JSON.parse(readFileSync(process.argv[2]!, 'utf8')))
+const result = await new LoadClient(plan).run()
+writeFileSync(plan.resultFile, JSON.stringify(result))
+// Open requests and connections must not keep the process alive.
+process.exit(0)
--- a/packages/cli/src/job-outcome.ts
+++ b/packages/cli/src/job-outcome.ts
@@ -1,4 +1,6 @@
+import { type taskSpecSchema } from '@sesamereel/protocol'
 import { type JobAnswer, type ResultError } from '@sesamereel/state'
+import { type z } from 'zod'
 
 /** What the client can say in the end about a job. */
 export type JobOutcome =
@@ -18,7 +20,7 @@
   readonly customer: string
   readonly repeatable?: boolean
   /** Tasks as in the caller API; absent fields get the defaults of the instance. */
-  readonly tasks: ReadonlyArray<Readonly<Record<string, unknown>>>
+  readonly tasks: ReadonlyArray<Readonly<z.input<typeof taskSpecSchema>>>
 }
 
 /** Number of messages that a client sent, by kind. */
--- a/packages/cli/src/key-pool.ts
+++ b/packages/cli/src/key-pool.ts
@@ -9,6 +9,9 @@
 /** Part of the lifetime of a key after which it is not used any more, so that a slow submission still comes in time. */
 const usableLifetime = 0.5
 
+/** Part of a block that is left when the next block is asked for. */
+const earlyPart = 0.25
+
 /** A shorter lifetime is not believed, since each key would then cost a request of its own. */
 const shortestLifetimeMs = 1_000
 
@@ -22,6 +25,7 @@
   readonly #ask: (customer: string) => Promise<KeyReply>
   readonly #now: () => number
   readonly #keys = new Map<string, PooledKey[]>()
+  #lastBlock = 0
   readonly #asking = new Map<string, Promise<KeyReply>>()
 
   /**
@@ -42,7 +46,10 @@
   async take (customer: string): Promise<{ readonly kind: 'key', readonly key: string } | Exclude<KeyReply, { kind: 'issued' }>> {
     for (;;) {
       const key = this.#takePooled(customer)
-      if (key !== undefined) return { kind: 'key', key }
+      if (key !== undefined) {
+        this.#refillEarly(customer)
+        return { kind: 'key', key }
+      }
       const reply = await this.#refill(customer)
       if (reply.kind !== 'issued') return reply
     }
@@ -64,12 +71,18 @@
   #takePooled (customer: string): string | undefined {
     const pooled = this.#keys.get(customer)
     const now = this.#now()
-    for (let entry = pooled?.pop(); entry !== undefined; entry = pooled?.pop()) {
+    for (let entry = pooled?.shift(); entry !== undefined; entry = pooled?.shift()) {
       if (entry.usableUntil > now) return entry.key
     }
     return undefined
   }
 
+  /** Asks for the next block in the background, so that no job has to wait for it. */
+  #refillEarly (customer: string): void {
+    const left = this.#keys.get(customer)?.length ?? 0
+    if (left > 0 && left < this.#lastBlock * earlyPart) this.#refill(customer).catch(() => {})
+  }
+
   #refill (customer: string): Promise<KeyReply> {
     const running = this.#asking.get(customer)
     if (running !== undefined) return running
@@ -82,6 +95,7 @@
     const askedAt = this.#now()
     const reply = await this.#ask(customer)
     if (reply.kind === 'issued') {
+      this.#lastBlock = reply.keys.length
       const usableUntil = askedAt + Math.max(reply.expiresInMs, shortestLifetimeMs) * usableLifetime
       const pooled = this.#keys.get(customer) ?? []
       this.#keys.set(customer, [...pooled, ...reply.keys.map(key => ({ key, usableUntil }))])
