Use the shared problem list and show what the server says of a conflict

The protocol package now lists problems of inputs, so the copy of the command line goes. A conflict names the changes since the base version that the server still knows, besides those that the file would make. The client library reads traces from all servers.

--- a/packages/cli/src/check-command.ts
+++ b/packages/cli/src/check-command.ts
@@ -1,11 +1,10 @@
-import { type ListName, type Settings } from '@sesamereel/protocol'
+import { type ListName, type Problem, type Settings } from '@sesamereel/protocol'
 import { type LimitList, type PlanList } from '@sesamereel/state'
 import { type CommandContext, CommandError } from './command-context.js'
 import { listClashes, listSettingsProblems, listUnknownPlans, listUselessLimits } from './cross-checks.js'
 import { exitCodes } from './exit-codes.js'
 import { formatCount } from './format-table.js'
-import { fileSchemas, formatProblems, listListProblems, readJsonFile, readListFile } from './input-files.js'
-import { listProblems, type Problem } from './problems.js'
+import { fileSchemas, formatProblems, listListProblems, listSchemaProblems, readJsonFile, readListFile } from './input-files.js'
 
 export interface CheckFlags {
   /** One or more settings files; several are also compared with each other. */
@@ -29,7 +28,7 @@
   const settingsFiles = flags.settings === undefined ? [] : typeof flags.settings === 'string' ? [flags.settings] : flags.settings
   await checkSettings(context, settingsFiles, findings)
   await checkLists(context, flags, findings)
-  if (flags.job !== undefined) findings.set(flags.job, listProblems(fileSchemas.job, await readJsonFile(context, flags.job)))
+  if (flags.job !== undefined) findings.set(flags.job, listSchemaProblems(fileSchemas.job, await readJsonFile(context, flags.job)))
   if (findings.size === 0) throw new CommandError('nothing to check: use --settings, --plans, --limits or --job FILE', exitCodes.invalidInput.code)
   const wrong = [...findings].filter(([, problems]) => problems.length > 0)
   if (flags.json === true) {
@@ -45,7 +44,7 @@
   const valid: Array<{ file: string, settings: Settings }> = []
   for (const file of files) {
     const input = await readJsonFile(context, file)
-    const problems = listProblems(fileSchemas.settings, input)
+    const problems = listSchemaProblems(fileSchemas.settings, input)
     if (problems.length === 0) {
       const settings = fileSchemas.settings.parse(input)
       valid.push({ file, settings })
--- a/packages/cli/src/cross-checks.ts
+++ b/packages/cli/src/cross-checks.ts
@@ -1,6 +1,5 @@
-import { type Settings } from '@sesamereel/protocol'
+import { formatFound, type Problem, type Settings } from '@sesamereel/protocol'
 import { findSeatIndex, formatSeat, isZero, type LimitList, type PlanList } from '@sesamereel/state'
-import { formatFound, type Problem } from './problems.js'
 
 /** Settings that must be the same in every instance. */
 const sharedFields = ['topology', 'peerToken', 'operatorToken'] as const
--- a/packages/cli/src/input-files.ts
+++ b/packages/cli/src/input-files.ts
@@ -1,11 +1,10 @@
-import { jobSpecSchema, limitListSchema, type ListName, planListSchema, settingsSchema } from '@sesamereel/protocol'
+import { jobSpecSchema, limitListSchema, type ListName, listProblems, planListSchema, type Problem, settingsSchema } from '@sesamereel/protocol'
 import { z } from 'zod'
 import { type CommandContext, CommandError, standardInput } from './command-context.js'
 import { exitCodes } from './exit-codes.js'
 import { formatTable } from './format-table.js'
 import { type JobRequest } from './job-outcome.js'
 import { type ListContent } from './list-diff.js'
-import { listProblems, type Problem } from './problems.js'
 
 const versionSchema = z.int().min(0)
 
@@ -50,7 +49,7 @@
  */
 export async function readJobFile (context: CommandContext, file: string): Promise<JobRequest> {
   const input = await readJsonFile(context, file)
-  refuseProblems(file, listProblems(fileSchemas.job, input))
+  refuseProblems(file, listSchemaProblems(fileSchemas.job, input))
   return input as JobRequest
 }
 
@@ -73,7 +72,17 @@
  */
 export function listListProblems (list: ListName, input: unknown): readonly Problem[] {
   const [versioned, plain] = fileSchemas[list].options
-  return listProblems(isVersioned(input) ? versioned : plain, input)
+  return listSchemaProblems(isVersioned(input) ? versioned : plain, input)
+}
+
+/**
+ * Lists everything that a schema finds wrong with an input.
+ *
+ * @returns the problems; empty when the input is valid
+ */
+export function listSchemaProblems (schema: z.ZodType, input: unknown): readonly Problem[] {
+  const parsed = schema.safeParse(input)
+  return parsed.success ? [] : listProblems(parsed.error, input)
 }
 
 /**
@@ -84,7 +93,7 @@
  * @returns a heading and one line for each problem
  */
 export function formatProblems (file: string, problems: readonly Problem[]): readonly string[] {
-  const rows = problems.map(({ path, found, expected }) => [path, `found ${found},`, `expected ${expected}`])
+  const rows = problems.map(({ path, found, expected }) => [path === '' ? '(top)' : path, `found ${found},`, `expected ${expected}`])
   return [`${file}: ${problems.length === 1 ? '1 problem' : `${problems.length} problems`}`, ...formatTable(rows, { indent: '  ' })]
 }
 
--- a/packages/cli/src/list-commands.ts
+++ b/packages/cli/src/list-commands.ts
@@ -92,6 +92,8 @@
       printError(context, outcome.error)
       if (outcome.current !== undefined) {
         context.printError(`  version ${outcome.current.version} was made by edit ${outcome.current.editId}`)
+        if (outcome.since.length > 0) context.printError('  changed since the version of the edit:')
+        for (const line of formatTable(outcome.since.map(change => [changeSigns[change.kind], change.list, change.entry, formatValues(change)]), { indent: '    ' })) context.printError(line)
         context.printError(`  ${file} would now make these changes to the ${list}:`)
         for (const line of formatChanges(outcome.changes)) context.printError(`  ${line}`)
         context.printError(`  To make exactly these changes: sesamereel ${list} apply ${file} --base ${outcome.current.version}`)
@@ -114,9 +116,11 @@
 const changeSigns = { added: '+', removed: '-', changed: '~' } as const
 
 function formatChanges (changes: readonly ListChange[]): readonly string[] {
-  return formatTable(changes.map(({ entry, kind, before, after }) => {
-    return [changeSigns[kind], entry, kind === 'changed' ? `${before} -> ${after}` : `${before}${after}`]
-  }), { indent: '  ' })
+  return formatTable(changes.map(change => [changeSigns[change.kind], change.entry, formatValues(change)]), { indent: '  ' })
+}
+
+function formatValues ({ kind, before, after }: ListChange): string {
+  return kind === 'changed' ? `${before} -> ${after}` : `${before}${after}`
 }
 
 /**
--- a/packages/cli/src/list-diff.ts
+++ b/packages/cli/src/list-diff.ts
@@ -22,20 +22,25 @@
  */
 export function compareLists (before: ListContent, after: ListContent): readonly ListChange[] {
   const entries = [...new Set([...Object.keys(before), ...Object.keys(after)])].sort()
-  const changes: ListChange[] = []
-  for (const entry of entries) {
-    const had = Object.hasOwn(before, entry)
-    const has = Object.hasOwn(after, entry)
-    if (had && has) {
-      const change = describeChange(before[entry]!, after[entry]!)
-      if (change !== undefined) changes.push({ entry, kind: 'changed', ...change })
-    } else if (has) {
-      changes.push({ entry, kind: 'added', before: '', after: formatEntry(after[entry]!) })
-    } else {
-      changes.push({ entry, kind: 'removed', before: formatEntry(before[entry]!), after: '' })
-    }
-  }
-  return changes
+  return entries
+    .map(entry => describeChange(entry, findEntry(before, entry), findEntry(after, entry)))
+    .filter(change => change.before !== change.after)
+}
+
+/**
+ * Describes one entry that differs.
+ *
+ * @param entry - name of the entry
+ * @param before - value before; undefined when the entry was added
+ * @param after - value after; undefined when the entry was removed
+ */
+export function describeChange (entry: string, before: ListContent[string] | undefined, after: ListContent[string] | undefined): ListChange {
+  if (before === undefined) return { entry, kind: 'added', before: '', after: after === undefined ? '' : formatEntry(after) }
+  if (after === undefined) return { entry, kind: 'removed', before: formatEntry(before), after: '' }
+  if (typeof before === 'string' || typeof after === 'string') return { entry, kind: 'changed', before: formatEntry(before), after: formatEntry(after) }
+  const changed = resourceDimensions.filter(dimension => before[dimension] !== after[dimension])
+  const format = (limit: ResourceVector): string => changed.map(dimension => `${dimension}=${limit[dimension]}`).join(' ')
+  return { entry, kind: 'changed', before: format(before), after: format(after) }
 }
 
 /**
@@ -49,14 +54,6 @@
   return resourceDimensions.map(dimension => `${dimension}=${value[dimension]}`).join(' ')
 }
 
-function describeChange (before: string | ResourceVector, after: string | ResourceVector): { before: string, after: string } | undefined {
-  if (typeof before === 'string' || typeof after === 'string') {
-    return before === after ? undefined : { before: formatEntry(before), after: formatEntry(after) }
-  }
-  const changed = resourceDimensions.filter(dimension => before[dimension] !== after[dimension])
-  if (changed.length === 0) return undefined
-  return {
-    before: changed.map(dimension => `${dimension}=${before[dimension]}`).join(' '),
-    after: changed.map(dimension => `${dimension}=${after[dimension]}`).join(' ')
-  }
+function findEntry (list: ListContent, entry: string): ListContent[string] | undefined {
+  return Object.hasOwn(list, entry) ? list[entry] : undefined
 }
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -1,9 +1,10 @@
 import { randomUUID } from 'node:crypto'
-import { configurationSchema, type ListName } from '@sesamereel/protocol'
+import { configurationSchema, type ListName, nameSchema, resourceVectorSchema } from '@sesamereel/protocol'
 import { type Configuration, type ResultError } from '@sesamereel/state'
+import { z } from 'zod'
 import { computeBackoff, waitFor } from './backoff.js'
 import { HttpCaller, type HttpRequest, type HttpResult } from './http-caller.js'
-import { compareLists, type ListChange, type ListContent } from './list-diff.js'
+import { compareLists, describeChange, type ListChange, type ListContent } from './list-diff.js'
 import { readResultError } from './reply-schemas.js'
 import { ServerList } from './server-list.js'
 
@@ -26,8 +27,16 @@
 export type EditOutcome =
   | { readonly kind: 'applied', readonly version: number, readonly editId: string }
   | { readonly kind: 'checked', readonly baseVersion: number }
-  /** Another edit came first; `changes` leads from the current list to the content of this edit. */
-  | { readonly kind: 'conflict', readonly error: ResultError, readonly current: Configuration | undefined, readonly changes: readonly ListChange[] }
+  /** Another edit came first. */
+  | {
+    readonly kind: 'conflict'
+    readonly error: ResultError
+    readonly current: Configuration | undefined
+    /** What changed since the base version, as far as the server still knows it. */
+    readonly since: readonly ServerChange[]
+    /** What this edit would change in the current list. */
+    readonly changes: readonly ListChange[]
+  }
   | OperatorFailure
   /** The edit may have been made. */
   | { readonly kind: 'unknown', readonly editId: string, readonly message: string }
@@ -41,9 +50,16 @@
   readonly timeoutMs?: number
 }
 
+const listEntrySchema = z.union([nameSchema, resourceVectorSchema])
+
 /** Errors that another server may not have; nothing was written. */
 const passing = new Set(['NotReady', 'Leaving', 'NotSent'])
 
+/** A change of either list, as a server describes it. */
+export interface ServerChange extends ListChange {
+  readonly list: string
+}
+
 type Conclusion = EditOutcome | { readonly kind: 'again', readonly message: string }
 
 /** Gets and edits the two lists and reads the status. */
@@ -82,6 +98,22 @@
     return await this.#read('/v1/status', (body, server) => typeof body === 'object' && body !== null ? { kind: 'status' as const, status: body, server } : undefined)
   }
 
+  /**
+   * Reads the spans of a trace that any of the servers still holds.
+   *
+   * @param traceId - 32 hexadecimal digits
+   * @returns the spans with the server that holds them; servers that do not reply are left out
+   */
+  async getTrace (traceId: string): Promise<ReadonlyArray<Readonly<Record<string, unknown>>>> {
+    const results = await Promise.all(this.#servers.addresses.map(async server => await this.#caller.call(server, {
+      method: 'GET', path: `/v1/traces/${traceId}`, token: this.#token, deadlineMs: this.#replyMs
+    })))
+    return results.flatMap(result => {
+      const parsed = traceSchema.safeParse(result.kind === 'reply' ? result.body : undefined)
+      return parsed.success ? parsed.data.spans.map(span => ({ ...span, server: result.server })) : []
+    })
+  }
+
   /**
    * Edits a list by compare-and-set on its version. When a reply is lost, the edit id in the
    * current lists tells whether the edit was made; if the version is still the base version the
@@ -128,16 +160,16 @@
       return mayBeMade ? await this.#resolveEdit(edit, editId, error.message) : { kind: 'refused', error }
     }
     const message = result.kind === 'lost' ? result.message : error?.message ?? `${result.server}: unexpected reply with status ${result.status}`
-    if (error?.name === 'ListConflict') return await this.#explainConflict(edit, editId, error, mayBeMade)
+    if (error?.name === 'ListConflict') return await this.#explainConflict(edit, editId, error, readServerChanges(result), mayBeMade)
     this.#servers.noteFailure(result.server)
     return mayBeMade ? await this.#resolveEdit(edit, editId, message) : { kind: 'again', message }
   }
 
   /** A conflict after a lost reply may be one with this very edit. */
-  async #explainConflict (edit: ListEdit, editId: string, error: ResultError, mayBeMade: boolean): Promise<Conclusion> {
+  async #explainConflict (edit: ListEdit, editId: string, error: ResultError, since: readonly ServerChange[], mayBeMade: boolean): Promise<Conclusion> {
     const read = await this.getLists()
     if (read.kind !== 'lists') {
-      return mayBeMade ? { kind: 'unknown', editId, message: error.message } : { kind: 'conflict', error, current: undefined, changes: [] }
+      return mayBeMade ? { kind: 'unknown', editId, message: error.message } : { kind: 'conflict', error, current: undefined, since, changes: [] }
     }
     const current = read.lists
     if (mayBeMade) {
@@ -146,7 +178,7 @@
       if (current.version <= edit.baseVersion) return { kind: 'again', message: error.message }
       if (current.version > edit.baseVersion + 1) return describeOvertaken(edit, editId, current)
     }
-    return { kind: 'conflict', error, current, changes: compareLists(current[edit.list], edit.content) }
+    return { kind: 'conflict', error, current, since, changes: compareLists(current[edit.list], edit.content) }
   }
 
   async #resolveEdit (edit: ListEdit, editId: string, message: string): Promise<Conclusion> {
@@ -195,6 +227,18 @@
   return error === undefined ? result.status !== 200 : error.name === 'EditOutcomeUnknown' || error.name === 'InternalError'
 }
 
+const traceSchema = z.object({ spans: z.array(z.record(z.string(), z.unknown())) })
+
+const serverChangesSchema = z.object({
+  changes: z.array(z.object({ list: z.string(), name: z.string(), before: listEntrySchema.optional(), after: listEntrySchema.optional() }))
+})
+
+function readServerChanges (result: HttpResult): readonly ServerChange[] {
+  const parsed = serverChangesSchema.safeParse(result.kind === 'reply' ? result.body : undefined)
+  if (!parsed.success) return []
+  return parsed.data.changes.map(({ list, name, before, after }) => ({ list, ...describeChange(name, before, after) }))
+}
+
 function readVersion (body: unknown): number | undefined {
   const version = (body as { version?: unknown } | null)?.version
   return typeof version === 'number' ? version : undefined
--- a/packages/cli/src/server-list.ts
+++ b/packages/cli/src/server-list.ts
@@ -26,6 +26,10 @@
     return this.#addresses.length
   }
 
+  get addresses (): readonly string[] {
+    return this.#addresses
+  }
+
   /**
    * Picks the current server, or the next one that did not fail lately, or else the one whose
    * failure is longest ago.
--- a/packages/cli/test/run-program.test.ts
+++ b/packages/cli/test/run-program.test.ts
@@ -1,5 +1,6 @@
 import { test, type TestContext } from 'node:test'
 import assert from 'node:assert/strict'
+import { createResultError } from '@sesamereel/state'
 import { type CommandContext, standardInput } from '../src/command-context.js'
 import { createCommandLine } from '../src/command-line.js'
 import { runProgram } from '../src/run-program.js'
@@ -73,25 +74,27 @@
     operatorToken: 'operator-token-01',
     peerToken: 'peer-token-000001'
   }
-  const broken = { ...settings, operatorToken: 'hidden', placement: 'fast', platform: { address: 'host:3' } }
+  const broken = { ...settings, operatorToken: 'hidden', retries: 'fast', platform: { address: 'host:3' } }
   const other = { ...settings, peerToken: 'peer-token-000002' }
   const { code, output } = await run(
     ['check', '--settings', 'a.json', '--settings', 'b.json', '--settings', 'c.json', '--plans', 'plans.json', '--limits', 'limits.json'],
     { 'a.json': broken, 'b.json': settings, 'c.json': other, 'plans.json': { kalibra: 'gold' }, 'limits.json': { version: 3, limits: {} } }
   )
   assert.equal(code, 2)
-  for (const pattern of [/operatorToken .*6 characters.*at least 16/, /placement .*unknown field/, /platform.address .*IP:PORT/, /seat .*found 5, .*0 to 2/, /peerToken .*b\.json/, /kalibra .*"gold"/]) assert.match(output, pattern)
+  for (const pattern of [/operatorToken .*6 characters.*at least 16/, /retries .*no field of this name/, /platform.address .*IP:PORT/, /seat .*found 5, .*0 to 2/, /peerToken .*b\.json/, /kalibra .*"gold"/]) assert.match(output, pattern)
   assert.doesNotMatch(output, /hidden/)
 })
 
 // Guards against an edit without a base version, which would undo the edits of others unseen.
 test('apply needs a base version and reports a conflict with its changes', async context => {
-  const server = await start(context, seen => seen.method === 'PUT' ? createError('ListConflict') : { status: 200, body: { version: 7, editId: 'other-edit', plans: { guild: 'a' }, limits: {} } })
+  const conflictReply = { status: 409, body: { ...createResultError('ListConflict', 'test'), version: 7, changes: [{ list: 'plans', name: 'coast', before: 'a', after: 'c' }] } }
+  const server = await start(context, seen => seen.method === 'PUT' ? conflictReply : { status: 200, body: { version: 7, editId: 'other-edit', plans: { guild: 'a' }, limits: {} } })
   assert.equal((await run(['plans', 'apply', 'p.json'], { 'p.json': { guild: 'b' } }, server)).code, 2)
   const conflict = await run(['plans', 'apply', 'p.json'], { 'p.json': { version: 6, plans: { guild: 'b' } } }, server)
   assert.equal(conflict.code, 5)
   assert.match(conflict.errors, /~ {2}guild {2}a -> b/)
   assert.match(conflict.errors, /other-edit/)
+  assert.match(conflict.errors, /~ {2}plans {2}coast {2}a -> c/)
 })
 
 // Guards against status fields that are dropped from the output, and against misaligned columns.
