--- a/packages/bench/src/load-client.ts
+++ b/packages/bench/src/load-client.ts
@@ -5,22 +5,10 @@
 import { findLimit, type ResourceVector } from '@sesamereel/state'
 import { computeIdeal } from './load-ideal.js'
 import { createJob, type LoadJob } from './load-jobs.js'
-import { type ClientPlan, clientPlanSchema } from './load-plan.js'
+import { type ClientPlan, clientPlanSchema, type ClientResult } from './load-plan.js'
 import { listPlans, profiles } from './load-profiles.js'
 import { LoadRandom } from './load-random.js'
-import { computeSummary, type JobSample, type Summary } from './load-samples.js'
-
-/** What one load client process reports. */
-export interface ClientResult {
-  readonly samples: readonly JobSample[]
-  readonly counts: ClientCounts
-  /** Delay of the event loop of the client in milliseconds. */
-  readonly loopDelay: { readonly p50: number, readonly p99: number, readonly max: number }
-  /** From the planned arrival of a job to its submission, in milliseconds. */
-  readonly lateness: Summary
-  /** Part of a core that the client used. */
-  readonly cores: number
-}
+import { computeSummary, type JobSample } from './load-samples.js'
 
 const keyBlock = 100
 
--- a/packages/bench/src/load-jobs.ts
+++ b/packages/bench/src/load-jobs.ts
@@ -5,8 +5,8 @@
 /** One task of a generated job. */
 export interface LoadTask {
   readonly kind: string
-  /** What the stand-in target does; `result` is returned as the result. */
-  readonly payload: { readonly workMs: number, readonly memoryMb: number, readonly result: string }
+  /** What the stand-in target does; `result` is returned as the result, `tag` is kept in its records. */
+  readonly payload: { readonly workMs: number, readonly memoryMb: number, readonly result: string, readonly tag: string }
   readonly demand: Demand
   /** Declared time, far from the real one. */
   readonly expectedMs: number
@@ -44,7 +44,7 @@
   const declaredMemory = memoryMb * clamp(random.sampleLogNormal(2, declaredMemorySigma), 1, 10)
   return {
     kind: kind.taskKind.name,
-    payload: { workMs, memoryMb, result },
+    payload: { workMs, memoryMb, result, tag: result },
     demand: { processors: Math.round(random.sampleUniform(100, 1_000)), memoryMb: Math.ceil(declaredMemory), accelerators: 0 },
     expectedMs: Math.round(Math.min(10_000, workMs * clamp(random.sampleLogNormal(1, declaredTimeSigma), 0.1, 10)))
   }
--- a/packages/bench/src/load-plan.ts
+++ b/packages/bench/src/load-plan.ts
@@ -1,4 +1,6 @@
+import { type ClientCounts } from '@sesamereel/cli'
 import { z } from 'zod'
+import { type JobSample, type Summary } from './load-samples.js'
 
 /** What one load client process is to do; written to a file by the bench. */
 export const clientPlanSchema = z.strictObject({
@@ -20,3 +22,15 @@
 })
 
 export type ClientPlan = z.output<typeof clientPlanSchema>
+
+/** What one load client process reports. */
+export interface ClientResult {
+  readonly samples: readonly JobSample[]
+  readonly counts: ClientCounts
+  /** Delay of the event loop of the client in milliseconds. */
+  readonly loopDelay: { readonly p50: number, readonly p99: number, readonly max: number }
+  /** From the planned arrival of a job to its submission, in milliseconds. */
+  readonly lateness: Summary
+  /** Part of a core that the client used. */
+  readonly cores: number
+}
--- /dev/null
+++ b/packages/bench/test/load-messages.test.ts
@@ -0,0 +1,45 @@
+import { test } from 'node:test'
+import assert from 'node:assert/strict'
+import { classifyMessages, countExchanges, subtractCounts } from '../src/load-messages.js'
+import { parseMetrics, sumMetric } from '../src/load-metrics.js'
+
+const metrics = `# HELP sesamereel_messages_total Requests
+sesamereel_messages_total{service="target",operation="start",outcome="replied"} 12
+sesamereel_messages_total{service="target",operation="start",outcome="lost"} 1
+sesamereel_messages_total{service="target",operation="query",outcome="replied"} 2
+sesamereel_messages_total{service="peer",operation="heartbeat",outcome="replied"} 20
+sesamereel_messages_total{service="peer",operation="heartbeat",outcome="not-sent"} 5
+process_cpu_seconds_total 1.5
+`
+
+// Guards against counters that are read wrongly, which would make every ratio wrong without a sign of it.
+test('metrics are parsed and subtracted by their labels', () => {
+  const samples = parseMetrics(metrics)
+  assert.equal(sumMetric(samples, 'process_cpu_seconds_total'), 1.5)
+  assert.equal(sumMetric(samples, 'sesamereel_messages_total', { service: 'target' }), 15)
+  const exchanges = countExchanges(samples)
+  assert.equal(exchanges.get('target start replied'), 12)
+  assert.deepEqual(subtractCounts(exchanges, new Map([['target start replied', 10], ['peer heartbeat replied', 30]])).get('target start replied'), 2)
+  assert.equal(subtractCounts(exchanges, new Map([['peer heartbeat replied', 30]])).get('peer heartbeat replied'), 20)
+})
+
+// Guards against waste that is counted as useful work, or not at all.
+test('each kind of waste is counted once', () => {
+  const start = (tag: string): Record<string, unknown> => ({ kind: 'start', tag })
+  const report = classifyMessages({
+    records: [
+      start('a'), start('b'), start('b'), start('c'),
+      { kind: 'refused', tag: 'd', reason: 'slots' }, { kind: 'refused', tag: 'd', reason: 'leaving' },
+      { kind: 'end', outcome: 'succeeded' }, { kind: 'end', outcome: 'cancelled' }
+    ],
+    exchanges: countExchanges(parseMetrics(metrics)),
+    clients: { askKeys: 4, submit: 3, resubmit: 1, wait: 2, cancel: 0, lost: 1 },
+    answers: 2
+  })
+  assert.deepEqual(report.wasted, {
+    refusedByGuard: 1, sentToLeavingTarget: 1, startsWithoutReply: 1, startedAgain: 1, cancelledAfterSending: 1, targetQueries: 2, resubmittedByClient: 1
+  })
+  assert.deepEqual(report.useful, { submissions: 2, starts: 2 })
+  assert.equal(report.wastedPart, 8 / 12)
+  assert.deepEqual(report.overheadPerAnswer, { 'client keys': 2, 'client waits': 1, 'peer heartbeat': 10 })
+})
