--- a/packages/bench/src/launcher.ts
+++ b/packages/bench/src/launcher.ts
@@ -1,4 +1,5 @@
 import { type ChildProcess, spawn } from 'node:child_process'
+import { randomInt } from 'node:crypto'
 import { once } from 'node:events'
 import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
@@ -34,24 +35,33 @@
 }
 
 /**
- * Asks the system for free ports on 127.0.0.1. They are all held at once, so that they differ.
+ * Loopback address for reserved ports. Outgoing connections come from 127.0.0.1, so none of them
+ * can take a port between its reservation and its use.
+ */
+const reservedHost = `127.${randomInt(1, 255)}.${randomInt(0, 256)}.${randomInt(1, 255)}`
+
+const reserved = new Set<string>()
+
+/**
+ * Asks the system for free ports on a loopback address of this process. None is given out twice.
  *
  * @param count - number of ports
- * @returns addresses as `127.0.0.1:PORT`
+ * @returns addresses as `IP:PORT`
  */
 export async function reserveAddresses (count: number): Promise<readonly string[]> {
-  const servers = Array.from({ length: count }, () => createServer())
   const addresses: string[] = []
-  for (const server of servers) {
-    server.listen(0, '127.0.0.1')
+  while (addresses.length < count) {
+    const server = createServer()
+    server.listen(0, reservedHost)
     await once(server, 'listening')
     const info = server.address()
-    if (info !== null && typeof info === 'object') addresses.push(`127.0.0.1:${info.port}`)
-  }
-  for (const server of servers) {
     const closed = once(server, 'close')
     server.close()
     await closed
+    const address = info !== null && typeof info === 'object' ? `${reservedHost}:${info.port}` : undefined
+    if (address === undefined || reserved.has(address)) continue
+    reserved.add(address)
+    addresses.push(address)
   }
   return addresses
 }
--- a/packages/bench/src/load-format.ts
+++ b/packages/bench/src/load-format.ts
@@ -21,6 +21,7 @@
       ['added when idle, ms', ...formatSummary(idle.all, 2)],
       ['  at the owner', ...formatSummary(idle.atOwner, 2)],
       ['  forwarded', ...formatSummary(idle.forwarded, 2)],
+      ['  whole response', ...formatSummary(idle.job, 2)],
       ['  direct request', ...formatSummary(idle.direct, 2)]
     ]),
     '',
--- a/packages/bench/src/load-idle.ts
+++ b/packages/bench/src/load-idle.ts
@@ -9,6 +9,8 @@
 export interface IdleReport {
   /** Direct keep-alive requests to the targets. */
   readonly direct: Summary
+  /** Whole response time of the jobs. */
+  readonly job: Summary
   /** Added latency of jobs that were submitted to the owner of their key. */
   readonly atOwner: Summary
   /** Added latency of jobs that another instance of the domain forwarded to the owner. */
@@ -55,6 +57,7 @@
     const added = jobs.map(({ key, ms, isOwner }) => ({ isOwner, ms: Math.max(0, ms - (medians.get(targets.get(key) ?? '') ?? 0)) }))
     return {
       direct: computeSummary([...direct.values()].flat()),
+      job: computeSummary(jobs.map(({ ms }) => ms)),
       atOwner: computeSummary(added.filter(({ isOwner }) => isOwner).map(({ ms }) => ms)),
       forwarded: computeSummary(added.filter(({ isOwner }) => !isOwner).map(({ ms }) => ms)),
       all: computeSummary(added.map(({ ms }) => ms))
