Drop keys of an owner that has a problem

Each job with a pooled key of a dead owner would wait for it in vain; unused keys cost nothing, so the rest of the block goes with the first sign of a problem.

--- a/packages/cli/src/job-client.ts
+++ b/packages/cli/src/job-client.ts
@@ -1,4 +1,4 @@
-import { type ResultError } from '@sesamereel/state'
+import { type ResultCodeName, type ResultError } from '@sesamereel/state'
 import { computeBackoff, waitFor } from './backoff.js'
 import { HttpCaller, type HttpRequest, type HttpResult } from './http-caller.js'
 import { type ClientCounts, type JobOutcome, type JobRequest } from './job-outcome.js'
@@ -45,6 +45,9 @@
 /** Longest time in milliseconds to ask for keys by default. */
 const defaultKeysMs = 30_000
 
+/** Errors after which other keys of the same owner are not used, since new ones cost only a message. */
+const ownerProblems: ReadonlySet<ResultCodeName> = new Set(['OwnerGone', 'OutcomeUnknown', 'NotSent', 'Leaving'])
+
 type MutableCounts = { -readonly [K in keyof ClientCounts]: number }
 
 interface Asking {
@@ -219,6 +222,7 @@
           break
         case 'again':
           asking.mayHaveRun ||= verdict.mayHaveRun
+          if (verdict.error !== undefined && ownerProblems.has(verdict.error.name)) this.#keys.removeIncarnation(asking.key)
           if (!await this.#pauseBeforeNext(asking, verdict.message, verdict.error)) return endUnknown(asking)
           break
       }
@@ -267,7 +271,7 @@
   }
 
   #endWithError (asking: Asking, error: ResultError): JobOutcome {
-    if (error.name === 'OwnerGone') this.#keys.removeIncarnation(asking.key)
+    if (ownerProblems.has(error.name)) this.#keys.removeIncarnation(asking.key)
     if (isProvenNotRun(error, asking.mayHaveRun)) return { kind: 'refused', key: asking.key, error }
     return { kind: 'unknown', key: asking.key, message: error.message, error }
   }
--- a/packages/cli/test/job-client.test.ts
+++ b/packages/cli/test/job-client.test.ts
@@ -103,3 +103,15 @@
   const client = createClient(context, [server])
   assert.equal((await client.submitWithKey(testKey, request, { timeoutMs: 300 })).kind, 'unreachable')
 })
+
+// Guards against a block of keys whose owner is dead: each further job would wait for it.
+test('keys of an owner with a problem are not used for other jobs', async context => {
+  let block = 0
+  const server = await start(context, seen => {
+    if (seen.path === '/v1/keys') return { status: 200, body: { keys: [1, 2, 3, 4].map(number => `gent-1.0.incarnation${block}.${number}`), expiresInMs: 3_600_000, block: block++ } }
+    return seen.body.includes('incarnation0') ? createError('OutcomeUnknown') : completeAnswer
+  })
+  const client = createClient(context, [server], { keyBlock: 4 })
+  assert.equal((await client.submit(request, { timeoutMs: 300 })).kind, 'unknown')
+  assert.equal((await client.submit(request)).kind, 'answered')
+})
