--- a/packages/coordination/src/job-registry.ts
+++ b/packages/coordination/src/job-registry.ts
@@ -105,6 +105,16 @@
     return refuseEnded(key, status)
   }
 
+  /**
+   * Finds the customer that a key was issued to.
+   *
+   * @returns the customer, or undefined for a key that is unknown here
+   */
+  findCustomer (key: string): string | undefined {
+    const parsed = this.parseOwnKey(key)
+    return 'error' in parsed ? undefined : this.blocks.findCustomer(parsed.sequence)
+  }
+
   /** Records the answer of an admitted job; only the first answer counts. */
   finish (key: string, answer: JobAnswer, now: number): void {
     const record = this.jobs.get(key)
--- a/packages/coordination/src/key-blocks.ts
+++ b/packages/coordination/src/key-blocks.ts
@@ -55,6 +55,16 @@
     return (block.admitted[offset >> 3]! & 1 << (offset & 7)) === 0 ? 'unused' : 'admitted'
   }
 
+  /**
+   * Finds the customer that a sequence number was issued to.
+   *
+   * @returns the customer, or undefined when the number was not issued or its block was dropped
+   */
+  findCustomer (sequence: number): string | undefined {
+    const block = this.blocks.get(Math.floor(sequence / blockSize))
+    return block !== undefined && sequence % blockSize < block.issued ? block.customer : undefined
+  }
+
   /** Marks an issued sequence number as admitted; it stays so until the block expires. */
   mark (sequence: number): void {
     const block = this.blocks.get(Math.floor(sequence / blockSize))
