Never claim "not run" for a submission that was not sent to its owner

Cause: code 204 said "not run" when an instance could not reach the owner of the key. An earlier submission with the same key may have run, so a caller that reads it as a statement about the job could submit the work twice. The history checker accepted this. Change: code 204 makes no claim. The checker flags a "not run" rejection whenever a task of the job had started before the request was sent. Result: a hand-made history with a "not run" resubmission after the run is flagged; before, the checker passed it.

--- a/packages/bench/src/history-checker.ts
+++ b/packages/bench/src/history-checker.ts
@@ -124,23 +124,33 @@
   return violations
 }
 
-/** I4: a job whose every submission was rejected as not run has no start. */
+/**
+ * I4: a rejection as not run is true of the job, not only of the request: nothing of the job had
+ * started before the request was sent, and nothing starts at all when every submission was rejected.
+ */
 function checkNotRun (history: History): readonly Violation[] {
-  const started = new Set(history.starts.map(({ tag }) => tag))
+  const firstStarts = new Map<string, number>()
+  for (const { tag, at } of history.starts) firstStarts.set(tag, Math.min(at, firstStarts.get(tag) ?? Infinity))
   const submissions = collectBy(history.calls.filter(({ op }) => op === 'submit'), call => call.job ?? '')
   const violations: Violation[] = []
   for (const job of history.jobs) {
     const calls = submissions.get(job.job) ?? []
-    if (calls.length === 0 || !calls.every(call => call.reply.kind === 'refused' || readAnswer(call)?.notRun === true)) continue
-    const ran = job.tags.filter(tag => started.has(tag))
-    if (ran.length > 0) {
-      const names = calls.map(call => String(readAnswer(call)?.name ?? call.reply.kind)).join(', ')
-      violations.push({ invariant: 'I4', message: `${job.job} was rejected as not run (${names}), but ${ran.length} of its tasks were started, first ${ran[0]!}` })
+    const areAllRejected = calls.every(call => call.reply.kind === 'refused' || isRejectedAsNotRun(call))
+    for (const call of calls.filter(isRejectedAsNotRun)) {
+      const ran = job.tags.filter(tag => (firstStarts.get(tag) ?? Infinity) < (areAllRejected ? Infinity : call.sentAt))
+      if (ran.length === 0) continue
+      const name = String(readAnswer(call)?.name ?? call.reply.kind)
+      violations.push({ invariant: 'I4', message: `${job.job} was rejected by ${call.via} as not run (${name}), but ${ran.length} of its tasks were started, first ${ran[0]!}` })
+      break
     }
   }
   return violations
 }
 
+function isRejectedAsNotRun (call: CallRecord): boolean {
+  return readAnswer(call)?.notRun === true
+}
+
 /** I6: a leaving target receives no new work after the bound. */
 function checkLeaving (history: History): readonly Violation[] {
   const violations: Violation[] = []
--- a/packages/bench/test/history-checker.test.ts
+++ b/packages/bench/test/history-checker.test.ts
@@ -35,7 +35,7 @@
 
 const repeatable: History = { ...good, jobs: [{ ...good.jobs[0]!, repeatable: true, marked: false }] }
 
-const notRun = { error: { code: 204, name: 'NotSent', notRun: true } }
+const notRun = { error: { code: 202, name: 'QueueFull', notRun: true } }
 
 const broken = { kind: 'reset', message: 'other side closed' } as const
 
@@ -64,8 +64,9 @@
   ['swapped results', 'I3', /instead of j#0/, withCalls(createCall('fetch', 2_500, { ...complete, results: ['j#1', 'j#0'] }))],
   ['the answer to another key', 'I3', /has key/, withCalls(createCall('fetch', 2_500, { ...complete, key: 'gent.0.abcdefgh.1' }))],
   ['an answer that changed', 'I3', /an earlier one was complete/, withCalls(createCall('fetch', 2_500, { state: 'failed', key, failure: { code: 403 } }))],
-  ['"not run" for a job that ran', 'I4', /rejected as not run/, { ...good, calls: [createCall('submit', 1_000, notRun, {}, 503)] }],
-  ['"not run" in a bare error', 'I4', /rejected as not run/, { ...good, calls: [createCall('submit', 1_000, notRun.error, {}, 503)] }],
+  ['"not run" for a job that ran', 'I4', /rejected by gent.0#1 as not run/, { ...good, calls: [createCall('submit', 1_000, notRun, {}, 503)] }],
+  ['"not run" for a resubmission of a job that ran', 'I4', /rejected by gent.0#1 as not run/, withCalls(createCall('submit', 3_000, notRun, {}, 503))],
+  ['"not run" in a bare error', 'I4', /rejected by gent.0#1 as not run/, { ...good, calls: [createCall('submit', 1_000, notRun.error, {}, 503)] }],
   ['a start at a leaving target', 'I6', /leaving target t9/, { ...good, starts: [...good.starts.slice(1), createStart('j#0', 8_001, 8_100, { target: 't9' })] }],
   ['a late start after a cut ended', 'I6', /leaving target t9/, { ...good, faults: [{ kind: 'cut', from: 4_000, to: 9_000, hidesList: true, hidesConfiguration: true }], starts: [...good.starts.slice(1), createStart('j#0', 12_001, 12_100, { target: 't9' })] }],
   ['a planned stop that had to be killed', 'I7', /exit code null/, { ...good, stops: [{ ...good.stops[0]!, exitCode: null }] }],
@@ -90,7 +91,7 @@
   assert.deepEqual(checkHistory(good), [])
   assert.deepEqual(checkHistory({ ...repeatable, starts: [...good.starts, createStart('j#0', 1_500, 1_700)] }), [])
   const unknown = createCall('submit', 900, undefined, { reply: { kind: 'timeout', message: '' } })
-  assert.deepEqual(checkHistory(withCalls(createCall('submit', 3_000, notRun, {}, 503), unknown)), [])
+  assert.deepEqual(checkHistory(withCalls(createCall('submit', 950, notRun, {}, 503), unknown)), [])
   const cut = { kind: 'cut', from: 4_000, to: 9_000, hidesList: true, hidesConfiguration: true }
   assert.deepEqual(checkHistory({ ...good, faults: [cut], starts: [...good.starts.slice(1), createStart('j#0', 11_999, 12_100, { target: 't9' })], calls: [] }), [])
   const newer = { at: 10_000, version: 2, editId: 'e2', ...lists, limits: lowered }
--- a/packages/state/src/result-codes.ts
+++ b/packages/state/src/result-codes.ts
@@ -34,7 +34,8 @@
   Leaving: { code: 201, title: 'The instance is leaving', status: 503, notRun: true, hint: 'Send the request to another instance.' },
   QueueFull: { code: 202, title: 'Too many tasks of the customer are queued', status: 429, notRun: true, hint: 'Wait for running jobs to end, then submit again.' },
   NoTargets: { code: 203, title: 'No target is known in the failure domain', status: 503, notRun: true, hint: 'Submit again later or through another failure domain.' },
-  NotSent: { code: 204, title: 'The owner of the key could not be reached and nothing was sent', status: 503, notRun: true, hint: 'Submit again with the same key.' },
+  // An earlier submission with the same key may have reached the owner, so this code does not prove "not run".
+  NotSent: { code: 204, title: 'The owner of the key could not be reached and this request was not sent to it', status: 503, notRun: false, hint: 'Submit again with the same key; only the owner can tell whether an earlier submission ran.' },
   OutcomeUnknown: { code: 300, title: 'The owner of the key does not answer; the outcome is unknown', status: 503, notRun: false, hint: 'Ask again with the same key; resubmitting the same body is safe.' },
   OwnerGone: { code: 301, title: 'The instance that issued the key is gone; the outcome is unknown', status: 410, notRun: false, hint: 'Nothing of the job will start from now on through another instance. Check the effects before you submit the work with a new key.' },
   KeyExpired: { code: 302, title: 'The key is too old', status: 410, notRun: false, hint: 'The outcome of the job is no longer kept. Use a new key for new work.' },
