Keep the units in use in a reduction of a cut loan

Cause: after a lender had cut a loan below what was in use, the next reduction named the cut amount. Change: a reduction names all that is in use; a test of the two ledgers.

--- a/packages/coordination/src/borrowed-loan.ts
+++ b/packages/coordination/src/borrowed-loan.ts
@@ -100,7 +100,8 @@
   }
 
   /**
-   * Gives up what is not in use, at once.
+   * Gives up what is not in use, at once. After a cut renewal more may be in use than the loan
+   * still has; the request names all that is in use, since the lender takes the rest back.
    *
    * @returns the renewal that tells the lender, or undefined when all or nothing is in use
    */
@@ -110,7 +111,7 @@
     this.renewedAt = now
     this.peak = this.inUse
     this.earlierPeak = this.inUse
-    return { loanId: this.loanId, resource: this.resource, amount: this.amount }
+    return { loanId: this.loanId, resource: this.resource, amount: this.inUse }
   }
 }
 
--- a/packages/coordination/test/dispatcher-loans.test.ts
+++ b/packages/coordination/test/dispatcher-loans.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import fc from 'fast-check'
 import { resourceDimensions, type ResourceVector } from '@sesamereel/state'
-import { type LendingPeer } from '../src/index.js'
+import { LeaseLedger, type LendingPeer, type LoanRequest } from '../src/index.js'
 import { Bed, createConfiguration, createRandom, createTarget, createTask, FakeClock, FakeNetwork, succeed } from './fixture.js'
 
 const quarantineMs = 18_000
@@ -117,6 +117,26 @@
   assert.equal(bed.runner.running.size, 1)
 })
 
+// Guards against a reduction that names less than is in use after the lender cut the loan.
+test('a reduction of a cut loan keeps what is in use counted at the lender', () => {
+  const options = { termMs: 14_000, marginMs: 200, checkLatestEnd: true }
+  const [lender, borrower] = [new LeaseLedger(options), new LeaseLedger(options)]
+  const owned = { processors: 10, memoryMb: 3_000, accelerators: 0, parallel: 5 }
+  const request = { loanId: 'a', resource: 'plan:kalibra', amount: owned }
+  lender.setOwned(request.resource, owned)
+  const lend = (sent: LoanRequest, now: number, memoryMb: number): void => {
+    const [grant] = lender.grant('b', [sent], now, true, () => ({ ...owned, memoryMb }))
+    borrower.addGrant('l', sent, grant!, now)
+  }
+  lend(request, 0, 3_000)
+  assert.ok(borrower.reserve(request.resource, { processors: 1, memoryMb: 2_000, accelerators: 0, parallel: 1 }, 11_000, 0, false))
+  const light = borrower.reserve(request.resource, { processors: 1, memoryMb: 0, accelerators: 0, parallel: 1 }, 11_000, 0, false)!
+  lend(borrower.takeUnused('l', request.resource, 10)!.reduced[0]!, 10, 500)
+  borrower.release(light)
+  lend(borrower.takeUnused('l', request.resource, 20)!.reduced[0]!, 20, 500)
+  assert.equal(lender.computeLent(request.resource, 20).memoryMb, 2_000)
+})
+
 type Step =
   | { readonly kind: 'submit', readonly seat: number, readonly count: number, readonly processors: number, readonly memoryMb: number, readonly accelerators: number, readonly repeatable: boolean }
   | { readonly kind: 'cancel', readonly seat: number }
