--- a/packages/bench/src/history-builder.ts
+++ b/packages/bench/src/history-builder.ts
@@ -44,15 +44,18 @@
   }
   return records.filter(({ kind }) => kind === 'start').map(record => {
     const target = String(record['target'])
+    const at = Number(record['at'])
+    const killedAt = kills.get(target)
     const end = ends.get(describeAttempt(record))?.shift()
     return {
-      at: Number(record['at']),
+      at,
       target,
       id: String(record['id']),
       tag: String(record['tag']),
       customer: String(record['customer']),
       demand: demandSchema.parse(record['demand']),
-      endedAt: end?.at ?? kills.get(target) ?? Infinity,
+      // A task may start between the record of the kill and the kill itself.
+      endedAt: end?.at ?? (killedAt === undefined ? Infinity : Math.max(at, killedAt)),
       outcome: end?.outcome ?? 'none'
     }
   })
