--- a/packages/coordination/src/dispatcher.ts
+++ b/packages/coordination/src/dispatcher.ts
@@ -94,7 +94,11 @@
     return { kind: 'accepted' }
   }
 
-  /** @returns the customer to whom a key was issued, undefined for a key that is not known */
+  /**
+   * Finds the customer that a key was issued to.
+   *
+   * @returns the customer, or undefined for a key that this incarnation does not know
+   */
   findCustomer (key: string): string | undefined {
     return this.parts.registry.findCustomer(key)
   }
--- a/packages/coordination/src/key-blocks.ts
+++ b/packages/coordination/src/key-blocks.ts
@@ -55,7 +55,11 @@
     return (block.admitted[offset >> 3]! & 1 << (offset & 7)) === 0 ? 'unused' : 'admitted'
   }
 
-  /** Finds the customer to whom a sequence number was issued, undefined when its block is not known. */
+  /**
+   * Finds the customer that a sequence number was issued to.
+   *
+   * @returns the customer, or undefined when the number was not issued or its block was dropped
+   */
   findCustomer (sequence: number): string | undefined {
     const block = this.blocks.get(Math.floor(sequence / blockSize))
     return block !== undefined && sequence % blockSize < block.issued ? block.customer : undefined
--- a/packages/transport/src/json-body.ts
+++ b/packages/transport/src/json-body.ts
@@ -40,7 +40,8 @@
     for await (const chunk of request as AsyncIterable<Buffer>) {
       length += chunk.length
       if (length > maxBytes) throw createRequestError('JobTooLarge', `the body has more than ${maxBytes} bytes`, 'body')
-      if (bufferedBytes + chunk.length > maxBufferedBytes) throw createRequestError('QueueFull', `the bodies of all requests together hold more than ${maxBufferedBytes} bytes`, 'body')
+      // The body is not read, so nothing can be said about an earlier submission with its key.
+      if (bufferedBytes + chunk.length > maxBufferedBytes) throw createRequestError('OutcomeUnknown', `the bodies of all requests together hold more than ${maxBufferedBytes} bytes`, 'body')
       bufferedBytes += chunk.length
       counted += chunk.length
       chunks.push(chunk)
