Never take a starting instance for an earlier holder of its seat

Cause: a new instance asks its peers for earlier holders with generation 0. Peers ranked that below the holder before it and took the new incarnation for gone until its next heartbeat, up to 2 s between domains, so they answered 'owner gone' for keys that it had just issued.

--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -99,7 +99,14 @@
     repeat('configuration', pollIntervalMs, async () => { await watch.pollConfiguration() })
     // The first round asks peers for earlier holders of the seat, so it precedes the claim.
     repeat('heartbeats', heartbeatIntervalMs, async () => { await heartbeats.run() })
-    this.#lifeCycle.add({ name: 'seat-claim', start: async () => { await keeper.begin() } })
+    this.#lifeCycle.add({
+      name: 'seat-claim',
+      start: async () => {
+        await keeper.begin()
+        // All peers must learn of the new holder before callers do.
+        await heartbeats.run(true)
+      }
+    })
     repeat('seat', heartbeatIntervalMs, async () => { await keeper.keep() })
   }
 }
