--- a/packages/coordination/src/job-registry.ts
+++ b/packages/coordination/src/job-registry.ts
@@ -106,11 +106,13 @@
   }
 
   /**
-   * Finds the customer that a key was issued to.
+   * Finds the customer to whom a key was issued, for requests that name only the key.
    *
-   * @returns the customer, or undefined for a key that is unknown here
+   * @returns undefined for a key that this incarnation did not issue or no longer knows
    */
   findCustomer (key: string): string | undefined {
+    const record = this.jobs.get(key)
+    if (record !== undefined) return record.customer
     const parsed = this.parseOwnKey(key)
     return 'error' in parsed ? undefined : this.blocks.findCustomer(parsed.sequence)
   }
--- a/packages/entry/src/job-router.ts
+++ b/packages/entry/src/job-router.ts
@@ -59,9 +59,10 @@
       if (route.kind === 'local') return await this.#options.localJobs.submitJob(spec, waitMs, context)
       if (route.kind === 'forward') {
         const reply = await this.#options.forwarding.submitJob(route.address, spec, waitMs, context)
-        return isOwnerGone(reply) ? await this.#submitToArchive(key, spec) : reply
+        return await this.#preferArchived(reply, async () => await this.#submitToArchive(key, spec))
       }
-      return route.kind === 'gone' ? await this.#submitToArchive(key, spec) : refuseUnreachable(key, spec.key)
+      if (route.kind === 'gone') return await this.#submitToArchive(key, spec)
+      return await this.#preferArchived(refuseUnreachable(key, spec.key), async () => await this.#submitToArchive(key, spec))
     })
   }
 
@@ -70,9 +71,10 @@
       if (route.kind === 'local') return await this.#options.localJobs.fetchJob(key, customers, waitMs)
       if (route.kind === 'forward') {
         const reply = await this.#options.forwarding.fetchJob(route.address, key, customers, waitMs, context)
-        return isOwnerGone(reply) ? await this.#readArchive(parsed, key, customers) : reply
+        return await this.#preferArchived(reply, async () => await this.#readArchive(parsed, key, customers))
       }
-      return route.kind === 'gone' ? await this.#readArchive(parsed, key, customers) : refuseUnreachable(parsed, key)
+      if (route.kind === 'gone') return await this.#readArchive(parsed, key, customers)
+      return await this.#preferArchived(refuseUnreachable(parsed, key), async () => await this.#readArchive(parsed, key, customers))
     })
   }
 
@@ -81,9 +83,10 @@
       if (route.kind === 'local') return this.#options.localJobs.cancelJob(key, customers)
       if (route.kind === 'forward') {
         const reply = await this.#options.forwarding.cancelJob(route.address, key, customers, context)
-        return isOwnerGone(reply) ? await this.#readArchive(parsed, key, customers) : reply
+        return await this.#preferArchived(reply, async () => await this.#readArchive(parsed, key, customers))
       }
-      return route.kind === 'gone' ? await this.#readArchive(parsed, key, customers) : refuseUnreachable(parsed, key)
+      if (route.kind === 'gone') return await this.#readArchive(parsed, key, customers)
+      return await this.#preferArchived(refuseUnreachable(parsed, key), async () => await this.#readArchive(parsed, key, customers))
     })
   }
 
@@ -97,6 +100,18 @@
     return reply
   }
 
+  /**
+   * An owner that stopped as planned can't be reached before it is known to be gone, but its
+   * archived answers are final. Without one, the reply about the owner stays.
+   */
+  async #preferArchived (reply: JobReply, readArchive: () => Promise<JobReply>): Promise<JobReply> {
+    if (reply.kind !== 'refused') return reply
+    if (reply.error.name === 'OwnerGone') return await readArchive()
+    if (reply.error.name !== 'NotSent' && reply.error.name !== 'OutcomeUnknown') return reply
+    const archived = await readArchive()
+    return archived.kind === 'state' || archived.error.name === 'KeyReused' ? archived : reply
+  }
+
   async #submitToArchive (key: JobKey, spec: JobSpec): Promise<JobReply> {
     const found = await this.#findArchived(key, spec.key, [spec.customer])
     if (found.kind === 'refused') return found
@@ -120,10 +135,6 @@
   }
 }
 
-function isOwnerGone (reply: JobReply): boolean {
-  return reply.kind === 'refused' && reply.error.name === 'OwnerGone'
-}
-
 function refuseUnreachable (key: JobKey, text: string): JobReply {
   return { kind: 'refused', error: createResultError('OutcomeUnknown', `the owner ${formatSeat(key)} of key ${text} can't be reached`) }
 }
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -3,6 +3,9 @@
 import { ExchangeObserver, type ServiceName } from '@sesamereel/transport'
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client'
 
+/** Pause in milliseconds between two samples of the event loop, which is part of each sample. */
+const loopSampleMs = 10
+
 /** The metrics of one instance, in the names and units of Prometheus. */
 export class Metrics extends ExchangeObserver {
   readonly registry = new Registry()
@@ -15,6 +18,7 @@
   readonly #cancelled = this.#count('cancelled_after_sending_total', 'Attempts that were cancelled after they had been handed to a target', [])
   readonly #jobs = this.#count('job_results_total', 'Answers of jobs by result code, 0 for complete', ['code'])
   readonly #droppedSpans = this.#count('trace_spans_dropped_total', 'Spans that were not exported', [])
+  readonly #borrows = this.#count('loan_requests_total', 'Loan requests to peers by outcome', ['outcome'])
   readonly #durations = new Histogram({
     name: 'sesamereel_request_seconds',
     help: 'Time from the header of a request to its response',
@@ -23,14 +27,14 @@
     registers: [this.registry]
   })
 
-  readonly #loopDelay = monitorEventLoopDelay({ resolution: 10 })
+  readonly #loopDelay = monitorEventLoopDelay({ resolution: loopSampleMs })
 
   constructor () {
     super()
     collectDefaultMetrics({ register: this.registry })
     this.#loopDelay.enable()
     this.addGauge('event_loop_delay_seconds', 'Delay of the event loop since the last scrape', ['quantile'], set => {
-      for (const quantile of [50, 99, 100]) set({ quantile: String(quantile / 100) }, this.#loopDelay.percentile(quantile) / 1e9)
+      for (const quantile of [50, 99, 100]) set({ quantile: String(quantile / 100) }, Math.max(0, this.#loopDelay.percentile(quantile) / 1e9 - loopSampleMs / 1_000))
       this.#loopDelay.reset()
     })
   }
@@ -80,6 +84,11 @@
     this.#jobs.inc({ code })
   }
 
+  observeBorrow (requested: number, granted: number): void {
+    this.#borrows.inc({ outcome: 'granted' }, granted)
+    this.#borrows.inc({ outcome: 'refused' }, requested - granted)
+  }
+
   observeDroppedSpans (count: number): void {
     this.#droppedSpans.inc(count)
   }
--- a/packages/entry/src/planned-stop.ts
+++ b/packages/entry/src/planned-stop.ts
@@ -72,7 +72,6 @@
   /** The row is released only when no unit of the share is in use or lent any more. */
   async #release (): Promise<void> {
     const { claim, clock, dispatcher, log, phase } = this.#options
-    dispatcher.returnAllLoans()
     const until = clock.now() + loanWaitMs
     while (dispatcher.hasOutstandingUnits() && clock.now() < until) await this.#wait(50)
     if (phase.isSuperseded()) return
--- a/packages/transport/src/api-server.ts
+++ b/packages/transport/src/api-server.ts
@@ -16,6 +16,8 @@
   readonly callers: CallerService
   readonly operators: OperatorService
   readonly monitor: MonitorService
+  /** Whether responses ask callers to close their connections, so that none is cut at the stop. */
+  readonly isLeaving?: () => boolean
   readonly limits?: ListenerLimits
 }
 
@@ -31,6 +33,10 @@
   addOperatorRoutes(router, options.operators, options.tokens)
   addMonitorRoutes(router, options.monitor, options.tokens)
   app.use(createErrorMiddleware(options.monitor))
+  app.use(async (ctx, next) => {
+    if (options.isLeaving?.() === true) ctx.set('connection', 'close')
+    await next()
+  })
   app.use(router.routes())
   // Koa reports here only failures to write a response, such as a caller that hung up.
   app.on('error', () => {})
