Do not take a replacement without a generation for an earlier holder

Cause: a new instance sends heartbeats with generation 0 until it has asked its peers. Membership compared that with the old holder's generation and remembered the new incarnation as gone, so that keys which it issued were answered with 301 (owner gone) until the next heartbeat. Ruled out: the platform's list (its lag gives "unreachable", not "gone"). Change: generation 0 proves nothing.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -94,7 +94,8 @@
     const isNewest = this.directory.observe(name, heartbeat)
     if (name === formatSeat(this.self)) return
     if (!isNewest) {
-      this.past.set(heartbeat.incarnation, now)
+      // Generation 0 is a new instance that does not know its generation yet, not an earlier holder.
+      if (heartbeat.generation > 0) this.past.set(heartbeat.incarnation, now)
       return
     }
     const known = this.peers.get(name)
--- a/packages/coordination/test/membership.test.ts
+++ b/packages/coordination/test/membership.test.ts
@@ -50,6 +50,16 @@
   assert.equal(route('gent-1.1.eeeeeeee.0'), 'forward')
 })
 
+// Guards against accepted jobs that are reported as lost because their owner, a replacement, had
+// sent a heartbeat before it knew its generation.
+test('a replacement without a generation is not taken for an earlier holder', () => {
+  const membership = createMembership()
+  membership.observeHeartbeat(createHeartbeat(1, 'bbbbbbbb', 1), 1_000)
+  membership.observeHeartbeat(createHeartbeat(1, 'cccccccc', 0, 'starting'), 2_000)
+  const route = routeKey(parseKey('gent-1.1.cccccccc.0')!, self, membership, true)
+  assert.equal(route.kind, 'forward')
+})
+
 // Guards against a suspect peer that is never recognized and against work for leaving peers.
 test('peers become suspect after three missed heartbeats and stay leaving', () => {
   const membership = createMembership()
