--- a/packages/coordination/src/dispatcher.ts
+++ b/packages/coordination/src/dispatcher.ts
@@ -94,6 +94,15 @@
     return { kind: 'accepted' }
   }
 
+  /**
+   * Finds the customer that a key was issued to.
+   *
+   * @returns the customer, or undefined for a key that this incarnation does not know
+   */
+  findCustomer (key: string): string | undefined {
+    return this.parts.registry.findCustomer(key)
+  }
+
   fetch (key: string, customer: string): Reply {
     return this.parts.jobs.fetch(key, customer)
   }
