--- a/packages/coordination/src/dispatcher.ts
+++ b/packages/coordination/src/dispatcher.ts
@@ -94,11 +94,7 @@
     return { kind: 'accepted' }
   }
 
-  /**
-   * Finds the customer that a key was issued to.
-   *
-   * @returns the customer, or undefined for a key that this incarnation does not know
-   */
+  /** @returns the customer to whom a key was issued, undefined for a key that is not known */
   findCustomer (key: string): string | undefined {
     return this.parts.registry.findCustomer(key)
   }
