Take the placement policy from the environment and show the use of slots

The bench asks for a policy through SESAMEREEL_PLACEMENT, but the daemon read a setting, so every comparison ran the default policy. The setting goes: operators must not have to tune anything. The report shows how busy the slots were and the mean speed of the tasks' targets, which tells a lack of work conservation from a poor choice of targets.

--- a/packages/bench/src/load-format.ts
+++ b/packages/bench/src/load-format.ts
@@ -7,7 +7,7 @@
  * @returns the lines
  */
 export function formatReport (report: BenchReport): readonly string[] {
-  const { options, ratio, messages, entries, idle, starts } = report
+  const { options, ratio, messages, slots, entries, idle, starts } = report
   return [
     `profile ${options.profile}, policy ${options.policy}, load ${options.load}, faults ${options.faults}, ${options.seconds} s after ${options.warmupSeconds} s, seed ${options.seed}`,
     `Node.js ${report.machine.node}, ${report.machine.cores} cores, load average ${report.machine.loadAverage.map(value => value.toFixed(1)).join(' ')}`,
@@ -28,6 +28,7 @@
     ...formatRows([
       ['jobs', formatCounts(report.outcomes)],
       ['rate', `${report.answersPerSecond.toFixed(1)} answers/s, planned ${report.plannedJobsPerSecond.toFixed(1)} jobs/s, ${report.taskStartsPerSecond.toFixed(0)} task starts/s`],
+      ['slots', `${(slots.busy * 100).toFixed(0)}% busy, ${(slots.work * 100).toFixed(0)}% of the work they can do, mean speed ${slots.meanSpeed.toFixed(2)} of tasks, ${slots.capacitySpeed.toFixed(2)} of all slots`],
       ['messages', `wasted ${(messages.wastedPart * 100).toFixed(2)}%`],
       ['  useful', formatCounts(messages.useful)],
       ['  wasted', formatCounts(messages.wasted)],
--- a/packages/bench/src/load-report.ts
+++ b/packages/bench/src/load-report.ts
@@ -3,6 +3,7 @@
 import { type IdleReport } from './load-idle.js'
 import { type MessageReport } from './load-messages.js'
 import { computeRecovery, computeSummary, countAnswersBySecond, countOutcomes, type JobSample, type Summary } from './load-samples.js'
+import { type SlotReport } from './load-slots.js'
 import { type StartsReport } from './load-starts.js'
 
 /** What the bench was asked to do. */
@@ -36,6 +37,7 @@
   readonly outcomes: Readonly<Record<string, number>>
   readonly answersPerSecond: number
   readonly taskStartsPerSecond: number
+  readonly slots: SlotReport
   readonly messages: MessageReport
   /** Tasks of not repeatable jobs that started more than once. */
   readonly forbiddenStarts: number
@@ -59,6 +61,7 @@
   readonly samples: readonly JobSample[]
   readonly use: EntryUse
   readonly starts: number
+  readonly slots: SlotReport
   readonly messages: MessageReport
   readonly forbiddenStarts: number
   readonly clients: readonly ClientReport[]
@@ -95,6 +98,7 @@
     outcomes: countOutcomes(measured),
     answersPerSecond: complete.length / options.seconds,
     taskStartsPerSecond: input.starts / use.seconds,
+    slots: input.slots,
     messages: input.messages,
     forbiddenStarts: input.forbiddenStarts,
     entries: { cores: use.cpuSeconds / use.seconds, startsPerCore: input.starts / use.cpuSeconds, largestResidentMb: use.largestResidentMb },
--- a/packages/bench/src/load-run.ts
+++ b/packages/bench/src/load-run.ts
@@ -15,6 +15,7 @@
 import { computeSpeeds, listPlans, type LoadProfile, profiles } from './load-profiles.js'
 import { LoadRandom } from './load-random.js'
 import { type BenchOptions, type BenchReport, computeReport } from './load-report.js'
+import { computeSlotUse } from './load-slots.js'
 import { measureStarts } from './load-starts.js'
 
 /** Load client processes; each uses a small part of a core. */
@@ -26,6 +27,9 @@
 /** Time in milliseconds after the load within which answers still count. */
 const graceMs = 30_000
 
+/** Time in milliseconds after the start of the cluster before the first measurement. */
+const settleMs = 3_000
+
 const zeroWorkSeconds = 5
 
 const clientProgram = fileURLToPath(new URL('./load-client.js', import.meta.url))
@@ -48,6 +52,8 @@
     log('starting the cluster')
     await cluster.start()
     const customer = profile.customers[0]!.name
+    // Start-up work of the processes would be measured as latency.
+    await delay(settleMs)
     log('measuring the idle latency')
     const idle = await measureIdle(cluster, customer)
     log('measuring starts without work')
@@ -103,7 +109,8 @@
   await Promise.all(plans.map(async ({ name }) => await cluster.launcher.waitForEnd(name, graceMs + 10_000)))
   const results = plans.map(plan => readResult(cluster, plan))
 
-  const records = cluster.readRecords().filter(({ at }) => Number(at) >= first.at && Number(at) <= last.at)
+  const allRecords = cluster.readRecords()
+  const records = allRecords.filter(({ at }) => Number(at) >= first.at && Number(at) <= last.at)
   const samples = results.flatMap(result => result.samples)
   const use = computeUse(first, last)
   const answers = samples.filter(({ arrivalMs, outcome }) => arrivalMs >= warmupMs && (outcome === 'complete' || outcome.startsWith('failed'))).length
@@ -117,8 +124,9 @@
     samples,
     use,
     starts: records.filter(({ kind }) => kind === 'start').length,
+    slots: computeSlotUse(allRecords, new Map(cluster.targets.map(({ id, spec }) => [id, spec.speed])), profile.slots, { from: first.at, to: last.at }),
     messages: classifyMessages({ records, exchanges: use.exchanges, clients: scaleCounts(results.map(({ counts }) => counts), part), answers }),
-    forbiddenStarts: countForbiddenStarts(cluster, profile),
+    forbiddenStarts: countForbiddenStarts(allRecords, profile),
     clients: results.map(({ loopDelay, lateness, cores }) => ({ loopDelay, lateness, cores })),
     idle: before.idle,
     zeroWork: before.zeroWork,
@@ -147,8 +155,8 @@
 }
 
 /** Counts starts beyond the first of tasks whose job is not repeatable. */
-function countForbiddenStarts (cluster: Cluster, profile: LoadProfile): number {
+function countForbiddenStarts (records: ReadonlyArray<Readonly<Record<string, unknown>>>, profile: LoadProfile): number {
   const once = new Set(profile.jobs.filter(({ repeatable }) => !repeatable).map(({ taskKind }) => taskKind.name))
-  const starts = cluster.readRecords().filter(({ kind, taskKind }) => kind === 'start' && once.has(String(taskKind)))
+  const starts = records.filter(({ kind, taskKind }) => kind === 'start' && once.has(String(taskKind)))
   return starts.length - new Set(starts.map(({ tag }) => tag)).size
 }
--- a/packages/bench/test/load-messages.test.ts
+++ b/packages/bench/test/load-messages.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'node:test'
 import assert from 'node:assert/strict'
 import { classifyMessages, countExchanges, subtractCounts } from '../src/load-messages.js'
+import { computeSlotUse } from '../src/load-slots.js'
 import { parseMetrics, sumMetric } from '../src/load-metrics.js'
 
 const metrics = `# HELP sesamereel_messages_total Requests
@@ -43,3 +44,13 @@
   assert.equal(report.wastedPart, 8 / 12)
   assert.deepEqual(report.overheadPerAnswer, { 'client keys': 2, 'client waits': 1, 'peer heartbeat': 10 })
 })
+
+// Guards against a use of slots that counts time outside the measured time, or tasks at the wrong speed.
+test('the use of slots is cut to the measured time', () => {
+  const records = [
+    { kind: 'start', target: 'a', id: '1', at: 0 }, { kind: 'end', target: 'a', id: '1', at: 150 },
+    { kind: 'start', target: 'b', id: '2', at: 180 }, { kind: 'end', target: 'b', id: '2', at: 400 }
+  ]
+  const use = computeSlotUse(records, new Map([['a', 1], ['b', 0.5]]), 1, { from: 100, to: 200 })
+  assert.deepEqual(use, { busy: 0.35, work: 60 / 150, meanSpeed: 60 / 70, capacitySpeed: 0.75 })
+})
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -2,6 +2,7 @@
 import { addDispatcherGauges } from './dispatcher-gauges.js'
 import { heartbeatIntervalMs } from './heartbeat-exchange.js'
 import { LifeCycle } from './life-cycle.js'
+import { readPlacement } from './placement-choice.js'
 import { RepeatedTask } from './repeated-task.js'
 import { type Cradle, wireInstance } from './wiring.js'
 
@@ -41,8 +42,8 @@
    * Starts all parts; the instance becomes ready by itself afterwards.
    */
   async start (): Promise<void> {
-    const { log, settings } = this.#parts
-    log.log('info', 'starting', { node: process.version, pid: process.pid, placement: settings.placement ?? 'default' })
+    const { log } = this.#parts
+    log.log('info', 'starting', { node: process.version, pid: process.pid, placement: readPlacement(process.env['SESAMEREEL_PLACEMENT']) })
     await this.#lifeCycle.start()
     log.log('info', 'started', { callers: this.addresses.caller, peers: this.addresses.peer })
   }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -19,6 +19,7 @@
 import { Monitor } from './monitor.js'
 import { OtlpExporter } from './otlp-exporter.js'
 import { PeerHandler } from './peer-handler.js'
+import { readPlacement } from './placement-choice.js'
 import { PlannedStop } from './planned-stop.js'
 import { PlatformWatch } from './platform-watch.js'
 import { SeatClaim } from './seat-claim.js'
@@ -163,7 +164,7 @@
     clock,
     runner,
     loans: peers,
-    placement: createPlacement(settings.placement ?? 'default', Math.random),
+    placement: createPlacement(readPlacement(process.env['SESAMEREEL_PLACEMENT']), Math.random),
     random: Math.random,
     isShareUsable: () => keeper.isShareUsable(),
     observer: new DispatchEvents(metrics, log)
--- a/packages/protocol/src/settings.ts
+++ b/packages/protocol/src/settings.ts
@@ -1,4 +1,3 @@
-import { placementNames } from '@sesamereel/coordination'
 import { z } from 'zod'
 import { addressSchema, domainNameSchema, nameSchema } from './common-schemas.js'
 
@@ -31,8 +30,6 @@
   peerToken: z.string().min(16),
   /** Address of an OTLP/HTTP trace collector; no export when absent. */
   traceCollector: z.url().optional(),
-  /** Placement policy, for comparisons; `default` when absent. */
-  placement: z.enum(placementNames).optional(),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info')
 })
 
