--- a/packages/bench/src/launcher.ts
+++ b/packages/bench/src/launcher.ts
@@ -141,6 +141,17 @@
     return path
   }
 
+  /**
+   * Finds the process id of a program.
+   *
+   * @throws an error when no such process was started
+   */
+  getPid (name: string): number {
+    const pid = this.#processes.get(name)?.child.pid
+    if (pid === undefined) throw new Error(`no process ${name}`)
+    return pid
+  }
+
   /**
    * Reads what a process wrote to its log.
    */
