Keep only generation and incarnation of a seat's holder

Cause: the seat directory kept whole heartbeats as holders and sent them in the next heartbeat, so that heartbeats were nested and grew with every exchange (about 30 kB each in a cluster of 15 instances after 12 s). Found by: npm run capacity:idle, then the bytes of each connection, then one heartbeat printed in a trial copy. Ruled out: the instance list (it is answered by 304) and the logs (24 lines). Change: the directory copies the two fields.

--- a/packages/coordination/src/seat-directory.ts
+++ b/packages/coordination/src/seat-directory.ts
@@ -47,7 +47,8 @@
     const known = this.holders.get(seat)
     if (known !== undefined && known.generation === holder.generation && known.incarnation === holder.incarnation) return true
     if (!isLaterHolder(holder, known)) return false
-    this.holders.set(seat, holder)
+    // Callers pass whole heartbeats, which must not be nested in the next heartbeat.
+    this.holders.set(seat, { generation: holder.generation, incarnation: holder.incarnation })
     return true
   }
 
--- a/packages/coordination/test/membership.test.ts
+++ b/packages/coordination/test/membership.test.ts
@@ -60,6 +60,14 @@
   assert.equal(route.kind, 'forward')
 })
 
+// Guards against heartbeats that carry earlier heartbeats in them and grow with every exchange.
+test('the holders in a heartbeat are only generation and incarnation', () => {
+  const directory = new SeatDirectory(0)
+  const membership = new Membership(self, directory)
+  membership.observeHeartbeat(createHeartbeat(1, 'bbbbbbbb', 1), 1_000)
+  assert.deepEqual(directory.listHolders(['gent-1']), { 'gent-1.1': { generation: 1, incarnation: 'bbbbbbbb' } })
+})
+
 // Guards against a suspect peer that is never recognized and against work for leaving peers.
 test('peers become suspect after three missed heartbeats and stay leaving', () => {
   const membership = createMembership()
