--- a/packages/coordination/src/job-registry.ts
+++ b/packages/coordination/src/job-registry.ts
@@ -106,12 +106,11 @@
   }
 
   /**
-   * Finds the customer that a key was issued to.
+   * Finds the customer to whom a key was issued, for requests that name only the key.
    *
-   * @returns the customer, or undefined for a key that is unknown here
+   * @returns undefined for a key that this incarnation did not issue or no longer knows
    */
   findCustomer (key: string): string | undefined {
-    // An answer may be kept for longer than the block of its key.
     const record = this.jobs.get(key)
     if (record !== undefined) return record.customer
     const parsed = this.parseOwnKey(key)
--- a/packages/coordination/src/seat-directory.ts
+++ b/packages/coordination/src/seat-directory.ts
@@ -47,7 +47,8 @@
     const known = this.holders.get(seat)
     if (known !== undefined && known.generation === holder.generation && known.incarnation === holder.incarnation) return true
     if (!isLaterHolder(holder, known)) return false
-    this.holders.set(seat, holder)
+    // Callers pass whole heartbeats, which must not be nested in the next heartbeat.
+    this.holders.set(seat, { generation: holder.generation, incarnation: holder.incarnation })
     return true
   }
 
@@ -63,9 +64,13 @@
     return this.holders.get(seat)
   }
 
-  /** Lists the newest known holders, for heartbeats. */
-  listHolders (): Readonly<Record<string, SeatHolder>> {
-    return Object.fromEntries(this.holders)
+  /**
+   * Lists the newest known holders of the seats of some domains, for heartbeats. A heartbeat
+   * with all holders would grow by 56 bytes for each seat of the whole topology.
+   */
+  listHolders (domains: readonly string[]): Readonly<Record<string, SeatHolder>> {
+    const prefixes = domains.map((domain) => `${domain}.`)
+    return Object.fromEntries([...this.holders].filter(([seat]) => prefixes.some((prefix) => seat.startsWith(prefix))))
   }
 
   /** A request may be the first thing that a process handles after a pause. */
