--- a/packages/entry/src/heartbeat-exchange.ts
+++ b/packages/entry/src/heartbeat-exchange.ts
@@ -108,13 +108,7 @@
   #learn (received: Heartbeat): void {
     const { clock, identity, keeper, membership, sync } = this.#options
     const heartbeat = this.#resolveAddress(received)
-    // An instance that doesn't know the holders before it can't be ranked among them yet; taken
-    // for an earlier holder, its incarnation would count as gone until its next heartbeat.
-    if (heartbeat.generation === 0) {
-      for (const [seat, holder] of Object.entries(heartbeat.holders)) this.#options.directory.observe(seat, holder)
-    } else {
-      membership.observeHeartbeat(heartbeat, clock.now())
-    }
+    membership.observeHeartbeat(heartbeat, clock.now())
     keeper.observeHolder(heartbeat.holders[formatSeat(identity)])
     if (heartbeat.domain === identity.domain && heartbeat.seat === identity.seat) keeper.observeHolder(heartbeat)
     sync.observeVersion(heartbeat.configurationVersion, heartbeat.peerAddress).catch((error: unknown) => { this.#options.log.logError('heartbeat', error) })
