--- a/packages/bench/src/caller-session.ts
+++ b/packages/bench/src/caller-session.ts
@@ -59,7 +59,7 @@
    * @returns the jobs, none when no keys were issued
    */
   async createJobs (to: Destination, plan: JobPlan, count: number): Promise<readonly CallerJob[]> {
-    const reply = await callHttp(to.callerAddress, '/v1/keys', { method: 'POST', token: tokens.caller, body: { customer: plan.customer, count } })
+    const reply = await this.#call('keys', to, '/v1/keys', 'POST', undefined, { customer: plan.customer, count }, 10_000)
     if (reply.kind !== 'answered' || reply.status !== 200) return []
     return (reply.body as { keys: readonly string[] }).keys.map(key => this.#buildJob(key, plan))
   }
--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -285,8 +285,8 @@
     })
   }
 
-  async close (): Promise<void> {
-    await this.launcher.close()
+  async close (keepFolder = false): Promise<void> {
+    await this.launcher.close(keepFolder)
   }
 
   async #waitUntilReady (entry: EntryProcess): Promise<void> {
--- a/packages/bench/src/history-records.ts
+++ b/packages/bench/src/history-records.ts
@@ -18,7 +18,7 @@
 
 /** One call of a caller or operator, recorded when it ended. */
 export interface CallRecord {
-  readonly op: 'submit' | 'fetch' | 'cancel' | 'read-lists' | 'edit'
+  readonly op: 'keys' | 'submit' | 'fetch' | 'cancel' | 'read-lists' | 'edit'
   readonly sentAt: number
   readonly at: number
   /** Process that the call was sent to. */
--- a/packages/bench/src/history-runner.ts
+++ b/packages/bench/src/history-runner.ts
@@ -1,3 +1,5 @@
+import { writeFileSync } from 'node:fs'
+import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { type LimitList } from '@sesamereel/state'
 import { type CallerJob, CallerSession, type Destination } from './caller-session.js'
@@ -18,6 +20,8 @@
   readonly operators: number
   /** Loops that cause faults side by side. */
   readonly faultLoops: number
+  /** After a failure, keeps logs and records and writes the history beside them. */
+  readonly keepFolder: boolean
 }
 
 export interface HistoryResult {
@@ -26,6 +30,8 @@
   readonly violations: readonly Violation[]
   /** Failures of the run itself, such as an instance that did not become ready. */
   readonly problems: readonly string[]
+  /** Folder with logs, records and history, when it was kept. */
+  readonly folder?: string
 }
 
 /** Time in milliseconds after the last fault within which every job must have an answer. */
@@ -54,11 +60,17 @@
     limits,
     delayMs: 1
   })
+  let isKept = false
   try {
     await cluster.start()
-    return await runOn(cluster, options)
+    const result = await runOn(cluster, options)
+    isKept = options.keepFolder && result.violations.length + result.problems.length > 0
+    if (!isKept) return result
+    const { folder } = cluster.launcher
+    writeFileSync(join(folder, 'history.json'), JSON.stringify(result.history, undefined, 1))
+    return { ...result, folder }
   } finally {
-    await cluster.close()
+    await cluster.close(isKept)
   }
 }
 
--- a/packages/bench/src/history.ts
+++ b/packages/bench/src/history.ts
@@ -1,4 +1,5 @@
 import { cac } from 'cac'
+import { countBy, formatCounts } from './counts.js'
 import { type Invariant } from './history-records.js'
 import { runHistory } from './history-runner.js'
 
@@ -8,6 +9,7 @@
   readonly callers: number
   readonly operators: number
   readonly faults: number
+  readonly keep?: boolean
 }
 
 const invariants: readonly Invariant[] = ['I1', 'I2', 'I3', 'I4', 'I5', 'I6', 'I7', 'I8', 'I9']
@@ -16,19 +18,9 @@
   process.stdout.write(line + '\n')
 }
 
-function formatCounts (counts: Iterable<readonly [string, number]>): string {
-  return [...counts].map(([name, count]) => `${name}=${count}`).join(' ')
-}
-
-function countBy (names: readonly string[]): ReadonlyMap<string, number> {
-  const counts = new Map<string, number>()
-  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1)
-  return counts
-}
-
 async function run (options: Options): Promise<number> {
   const { seed, seconds } = options
-  const { history, operations, violations, problems } = await runHistory({ seed, seconds, callers: options.callers, operators: options.operators, faultLoops: options.faults })
+  const { history, operations, violations, problems, folder } = await runHistory({ seed, seconds, callers: options.callers, operators: options.operators, faultLoops: options.faults, keepFolder: options.keep === true })
   const answers = countBy(history.calls.map(({ op, reply }) => `${op}:${reply.kind === 'answered' ? reply.status : reply.kind}`))
   print(`seed ${seed}, ${seconds} s`)
   print(`operations: ${formatCounts(operations)}`)
@@ -39,6 +31,7 @@
   print(`violations: ${formatCounts(invariants.map(invariant => [invariant, found.get(invariant) ?? 0]))}`)
   for (const { invariant, message } of violations.slice(0, 20)) print(`  ${invariant}: ${message}`)
   for (const problem of problems) print(`problem: ${problem}`)
+  if (folder !== undefined) print(`logs, records and history are in ${folder}`)
   return violations.length + problems.length === 0 ? 0 : 1
 }
 
@@ -49,6 +42,7 @@
   .option('--callers <number>', 'Callers at work at once', { default: 10 })
   .option('--operators <number>', 'Operators at work at once', { default: 2 })
   .option('--faults <number>', 'Faults that may last at once', { default: 2 })
+  .option('--keep', 'Keep logs, records and the history of a run that fails')
   .action(async (options: Options) => await run(options))
 cli.help()
 try {
--- a/packages/bench/src/launcher.ts
+++ b/packages/bench/src/launcher.ts
@@ -177,14 +177,16 @@
 
   /**
    * Ends all processes and removes the temporary folder.
+   *
+   * @param keepFolder - keeps settings, logs and records, to look into a failure
    */
-  async close (): Promise<void> {
+  async close (keepFolder = false): Promise<void> {
     this.#endAll()
     await Promise.all([...this.#processes.values()].map(({ ended }) => ended))
     process.off('exit', this.#endAtExit)
     process.off('SIGINT', this.#endAtSignal)
     process.off('SIGTERM', this.#endAtSignal)
-    rmSync(this.folder, { recursive: true, force: true })
+    if (!keepFolder) rmSync(this.folder, { recursive: true, force: true })
   }
 
   #spawn (name: string, args: readonly string[], stdio: ['pipe' | 'ignore', 'pipe' | 'ignore']): ChildProcess {
--- a/packages/bench/src/scenario-runner.ts
+++ b/packages/bench/src/scenario-runner.ts
@@ -1,3 +1,5 @@
+import { writeFileSync } from 'node:fs'
+import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { type LimitList } from '@sesamereel/state'
 import { type CallerJob, CallerSession, type Destination, type JobPlan, type JobStanding, judgeReply } from './caller-session.js'
@@ -8,12 +10,16 @@
 import { type History, type StartRecord } from './history-records.js'
 import { type CallReply } from './http-call.js'
 import { RandomSource } from './random-source.js'
+import { countBy, formatCounts } from './counts.js'
 import { runLimited } from './run-limited.js'
 import { type Bounds, type Expectations, type Scenario, type ScenarioStep, type SubmitStep } from './scenario-schema.js'
 
 /** Follow-ups of many jobs at once are limited, so that callers do not compete for the machine. */
 const maxFollowers = 64
 
+/** Shorter faults say nothing about the part of the load that is served meanwhile. */
+const minFaultMs = 3_000
+
 interface GroupJob {
   readonly job: CallerJob
   readonly submittedAt: number
@@ -23,6 +29,8 @@
 
 export interface ScenarioResult {
   readonly problems: readonly string[]
+  /** Folder with logs, records and history, when it was kept. */
+  readonly folder?: string
   /** Figures for the report. */
   readonly figures: Readonly<Record<string, number>>
 }
@@ -63,8 +71,11 @@
 
   /**
    * Runs all steps, then checks the whole history against the invariants.
+   *
+   * @param keepFolder - after a failure, keeps the logs and records and writes the history beside them
    */
-  async run (): Promise<ScenarioResult> {
+  async run (keepFolder = false): Promise<ScenarioResult> {
+    let isKept = false
     try {
       await this.#cluster.start()
       for (const [index, step] of this.#scenario.steps.entries()) {
@@ -79,9 +90,11 @@
       await Promise.all([...this.#background, ...this.#stops])
       const history = this.#readHistory()
       for (const { invariant, message } of checkHistory(history)) this.#problems.push(`${invariant}: ${message}`)
-      return { problems: this.#problems, figures: { jobs: history.jobs.length, calls: history.calls.length, starts: history.starts.length } }
+      isKept = keepFolder && this.#problems.length > 0
+      if (isKept) writeFileSync(join(this.#cluster.launcher.folder, 'history.json'), JSON.stringify(history, undefined, 1))
+      return { problems: this.#problems, ...(isKept ? { folder: this.#cluster.launcher.folder } : {}), figures: { jobs: history.jobs.length, calls: history.calls.length, starts: history.starts.length, ...computeServed(history) } }
     } finally {
-      await this.#cluster.close()
+      await this.#cluster.close(isKept)
     }
   }
 
@@ -289,9 +302,12 @@
     const history = this.#readHistory()
     const starts = history.starts.filter(({ tag }) => tags.has(tag))
     const label = group === undefined ? 'all jobs' : `group ${group}`
+    const standings = countBy(members.map(({ standing }) => standing))
+    const known = this.#problems.length
     for (const standing of ['complete', 'failed', 'gone', 'rejected', 'unknown'] as const) {
-      this.#compare(`${label}: ${standing} jobs`, members.filter(member => member.standing === standing).length, expectations[standing])
+      this.#compare(`${label}: ${standing} jobs`, standings.get(standing) ?? 0, expectations[standing])
     }
+    if (this.#problems.length > known) this.#problems.push(`${label}: ${formatCounts(standings)}; replies: ${formatCounts(countBy(history.calls.map(({ op, reply }) => `${op}:${readCode(reply)}`)))}`)
     const submissions = history.calls.filter(({ op, job }) => op === 'submit' && job !== undefined && names.has(job))
     for (const [code, bounds] of Object.entries(expectations.codes ?? {})) {
       this.#compare(`${label}: submissions answered with ${code}`, submissions.filter(call => readCode(call.reply) === code).length, bounds)
@@ -340,12 +356,37 @@
   }
 }
 
+/** Reads the code of the failure with which a job ended, or of the error with which a call did. */
 function readCode (reply: CallReply): string {
   if (reply.kind !== 'answered') return reply.kind
-  const { name } = (reply.body ?? {}) as { name?: unknown }
+  const { name, state, failure } = (reply.body ?? {}) as { name?: unknown, state?: unknown, failure?: { code?: unknown, message?: unknown } }
+  if (state === 'failed') return `failed-${String(failure?.code)}`
   return typeof name === 'string' ? name : String(reply.status)
 }
 
+/**
+ * Computes which part of the work that was submitted while faults lasted also ended while they
+ * lasted. Leaves out the last second of each fault, in which work may still be under way.
+ */
+function computeServed (history: History): Readonly<Record<string, number>> {
+  const lasting = history.faults.filter(({ from, to }) => to !== Infinity && to - from >= minFaultMs)
+  const ends = new Map(history.starts.filter(({ outcome }) => outcome === 'succeeded').map(({ tag, endedAt }) => [tag, endedAt]))
+  const firstSent = new Map<string, number>()
+  for (const { op, job, sentAt } of history.calls) {
+    if (op === 'submit' && job !== undefined) firstSent.set(job, Math.min(sentAt, firstSent.get(job) ?? Infinity))
+  }
+  let offered = 0
+  let served = 0
+  for (const { job, tags } of history.jobs) {
+    const sentAt = firstSent.get(job) ?? 0
+    const fault = lasting.find(({ from, to }) => sentAt >= from && sentAt <= to - 1_000)
+    if (fault === undefined) continue
+    offered += tags.length
+    served += tags.filter(tag => (ends.get(tag) ?? Infinity) <= fault.to).length
+  }
+  return offered === 0 ? {} : { tasksOfferedInFaults: offered, servedPercent: Math.round(served / offered * 1_000) / 10 }
+}
+
 function countMost (starts: readonly StartRecord[]): number {
   const counts = new Map<string, number>()
   for (const { tag } of starts) counts.set(tag, (counts.get(tag) ?? 0) + 1)
--- a/packages/bench/src/scenarios.ts
+++ b/packages/bench/src/scenarios.ts
@@ -5,14 +5,15 @@
 import { parse } from 'yaml'
 import { z } from 'zod'
 import { type Scenario, scenarioSchema } from './scenario-schema.js'
-import { ScenarioRunner } from './scenario-runner.js'
+import { type ScenarioResult, ScenarioRunner } from './scenario-runner.js'
 
-const folder = fileURLToPath(new URL('../../../../scenarios', import.meta.url))
+const scenarioFolder = fileURLToPath(new URL('../../../../scenarios', import.meta.url))
 
 interface Options {
   readonly only?: string | readonly string[]
   readonly list?: boolean
   readonly seed: number
+  readonly keep?: boolean
 }
 
 /**
@@ -21,15 +22,15 @@
  * @throws an error that names every problem of a file
  */
 function loadScenarios (): readonly Scenario[] {
-  return readdirSync(folder).filter(file => file.endsWith('.yaml')).sort().map(file => {
-    const read = scenarioSchema.safeParse(parse(readFileSync(join(folder, file), 'utf8')))
+  return readdirSync(scenarioFolder).filter(file => file.endsWith('.yaml')).sort().map(file => {
+    const read = scenarioSchema.safeParse(parse(readFileSync(join(scenarioFolder, file), 'utf8')))
     if (!read.success) throw new Error(`${file}: ${z.prettifyError(read.error)}`)
     if (`${read.data.name}.yaml` !== basename(file)) throw new Error(`${file}: the name is ${JSON.stringify(read.data.name)}, expected that of the file`)
     return read.data
   })
 }
 
-async function runScenarios ({ only, list, seed }: Options): Promise<number> {
+async function runScenarios ({ only, list, seed, keep }: Options): Promise<number> {
   const names = only === undefined ? undefined : typeof only === 'string' ? only.split(',') : only
   const all = loadScenarios()
   const unknown = names?.filter(name => !all.some(scenario => scenario.name === name)) ?? []
@@ -40,12 +41,13 @@
     process.stdout.write(`${scenario.name} (${scenario.invariants.join(', ')}): ${scenario.faults.join('; ')}\n`)
     if (list === true) continue
     const startedAt = performance.now()
-    const { problems, figures } = await new ScenarioRunner(scenario, Number(seed)).run().catch((error: unknown) => ({ problems: [error instanceof Error ? error.message : String(error)], figures: {} }))
+    const { problems, figures, folder } = await new ScenarioRunner(scenario, Number(seed)).run(keep).catch((error: unknown): ScenarioResult => ({ problems: [error instanceof Error ? error.message : String(error)], figures: {} }))
     const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1)
     const text = Object.entries(figures).map(([name, value]) => `${name}=${value}`).join(' ')
     process.stdout.write(`  ${problems.length === 0 ? 'pass' : 'FAIL'} in ${seconds} s ${text}\n`)
     for (const problem of problems.slice(0, 12)) process.stdout.write(`    ${problem}\n`)
     if (problems.length > 12) process.stdout.write(`    and ${problems.length - 12} more\n`)
+    if (folder !== undefined) process.stdout.write(`    logs, records and history are in ${folder}\n`)
     if (problems.length > 0) failed++
   }
   if (list === true) return 0
@@ -58,6 +60,7 @@
   .option('--only <name>', 'Run only this scenario; may be repeated or hold names separated by commas')
   .option('--list', 'Print the scenarios without running them')
   .option('--seed <number>', 'Varies the waits between steps by up to 5%', { default: 1 })
+  .option('--keep', 'Keep logs, records and the history of scenarios that fail')
   .action(async (options: Options) => await runScenarios(options))
 cli.help()
 try {
