--- a/packages/bench/src/history.ts
+++ b/packages/bench/src/history.ts
@@ -2,6 +2,7 @@
 import { countBy, formatCounts } from './counts.js'
 import { type Invariant } from './history-records.js'
 import { runHistory } from './history-runner.js'
+import { countMostParallel } from './parallel-use.js'
 
 interface Options {
   readonly seed: number
@@ -27,6 +28,8 @@
   print(`calls: ${formatCounts([...answers].sort(([a], [b]) => a < b ? -1 : 1))}`)
   print(`faults: ${formatCounts(countBy(history.faults.map(({ kind }) => kind)))}`)
   print(`jobs=${history.jobs.length} starts=${history.starts.length} configurations=${history.configurations.length}`)
+  const customers = [...new Set(history.starts.map(({ customer }) => customer))].sort()
+  print(`most parallel tasks: ${formatCounts(customers.map(name => [name, countMostParallel(history.starts.filter(({ customer }) => customer === name), 0)]))}`)
   const found = countBy(violations.map(({ invariant }) => invariant))
   print(`violations: ${formatCounts(invariants.map(invariant => [invariant, found.get(invariant) ?? 0]))}`)
   for (const { invariant, message } of violations.slice(0, 20)) print(`  ${invariant}: ${message}`)
@@ -39,9 +42,9 @@
 cli.command('', 'Run random clients under random faults and check the history against the invariants')
   .option('--seed <number>', 'Seed of all random choices', { default: 1 })
   .option('--seconds <number>', 'Length of the run', { default: 30 })
-  .option('--callers <number>', 'Callers at work at once', { default: 10 })
+  .option('--callers <number>', 'Callers at work at once', { default: 24 })
   .option('--operators <number>', 'Operators at work at once', { default: 2 })
-  .option('--faults <number>', 'Faults that may last at once', { default: 2 })
+  .option('--faults <number>', 'Faults that may last at once', { default: 3 })
   .option('--keep', 'Keep logs, records and the history of a run that fails')
   .action(async (options: Options) => await run(options))
 cli.help()
--- a/packages/bench/src/scenario-runner.ts
+++ b/packages/bench/src/scenario-runner.ts
@@ -9,6 +9,7 @@
 import { checkHistory } from './history-checker.js'
 import { type History, type StartRecord } from './history-records.js'
 import { type CallReply } from './http-call.js'
+import { countMostParallel } from './parallel-use.js'
 import { RandomSource } from './random-source.js'
 import { countBy, formatCounts } from './counts.js'
 import { runLimited } from './run-limited.js'
@@ -392,15 +393,3 @@
   for (const { tag } of starts) counts.set(tag, (counts.get(tag) ?? 0) + 1)
   return Math.max(0, ...counts.values())
 }
-
-function countMostParallel (starts: readonly StartRecord[], since: number): number {
-  const events = starts.flatMap(({ at, endedAt }) => [{ at, change: 1 }, { at: endedAt, change: -1 }])
-  events.sort((a, b) => a.at - b.at || a.change - b.change)
-  let present = 0
-  let most = 0
-  for (const { at, change } of events) {
-    present += change
-    if (at >= since && change > 0) most = Math.max(most, present)
-  }
-  return most
-}
