--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -2,6 +2,7 @@
 import { addDispatcherGauges } from './dispatcher-gauges.js'
 import { heartbeatIntervalMs } from './heartbeat-exchange.js'
 import { LifeCycle } from './life-cycle.js'
+import { readPlacement } from './placement-choice.js'
 import { RepeatedTask } from './repeated-task.js'
 import { type Cradle, wireInstance } from './wiring.js'
 
@@ -41,8 +42,8 @@
    * Starts all parts; the instance becomes ready by itself afterwards.
    */
   async start (): Promise<void> {
-    const { log, settings } = this.#parts
-    log.log('info', 'starting', { node: process.version, pid: process.pid, placement: settings.placement ?? 'default' })
+    const { log } = this.#parts
+    log.log('info', 'starting', { node: process.version, pid: process.pid, placement: readPlacement(process.env['SESAMEREEL_PLACEMENT']) })
     await this.#lifeCycle.start()
     log.log('info', 'started', { callers: this.addresses.caller, peers: this.addresses.peer })
   }
@@ -99,7 +100,14 @@
     repeat('configuration', pollIntervalMs, async () => { await watch.pollConfiguration() })
     // The first round asks peers for earlier holders of the seat, so it precedes the claim.
     repeat('heartbeats', heartbeatIntervalMs, async () => { await heartbeats.run() })
-    this.#lifeCycle.add({ name: 'seat-claim', start: async () => { await keeper.begin() } })
+    this.#lifeCycle.add({
+      name: 'seat-claim',
+      start: async () => {
+        await keeper.begin()
+        // All peers must learn of the new holder before callers do.
+        await heartbeats.run(true)
+      }
+    })
     repeat('seat', heartbeatIntervalMs, async () => { await keeper.keep() })
   }
 }
