--- a/packages/coordination/src/dispatcher-types.ts
+++ b/packages/coordination/src/dispatcher-types.ts
@@ -2,6 +2,7 @@
 import { type AttemptRunner } from './attempt.js'
 import { type Clock } from './clock.js'
 import { type DispatchObserver } from './dispatch-observer.js'
+import { type IssueResult } from './job-registry.js'
 import { type LeavingMark } from './leaving-marks.js'
 import { type LoanChannel } from './loans.js'
 import { type PlacementPolicy } from './placement-policy.js'
@@ -20,9 +21,7 @@
   readonly observer?: DispatchObserver
 }
 
-export type IssueReply =
-  | { readonly kind: 'issued', readonly keys: readonly string[], readonly expiresInMs: number }
-  | { readonly kind: 'refused', readonly error: ResultError }
+export type IssueReply = IssueResult
 
 export type SubmitReply =
   | { readonly kind: 'accepted' }
