--- a/packages/bench/src/scenario-runner.ts
+++ b/packages/bench/src/scenario-runner.ts
@@ -45,7 +45,8 @@
   readonly #groups = new Map<string, GroupJob[]>()
   readonly #marks = new Map<string, number>()
   readonly #background: Array<Promise<void>> = []
-  readonly #stops: Array<Promise<void>> = []
+  /** Steps that run beside the next ones until a join step. */
+  readonly #joinable: Array<Promise<void>> = []
   readonly #active: ActiveFault[] = []
   readonly #paused = new Map<string, ActiveFault>()
   readonly #problems: string[] = []
@@ -88,7 +89,7 @@
         }
       }
       await this.#heal()
-      await Promise.all([...this.#background, ...this.#stops])
+      await Promise.all([...this.#background, ...this.#joinable])
       const history = this.#readHistory()
       for (const { invariant, message } of checkHistory(history)) this.#problems.push(`${invariant}: ${message}`)
       isKept = keepFolder && this.#problems.length > 0
@@ -103,7 +104,10 @@
     if ('submit' in step) await this.#submit(step.submit)
     else if ('resubmit' in step) await this.#resubmit(step.resubmit)
     else if ('cancel' in step) await this.#forEachJob(step.cancel.group, step.cancel.via, async (to, { job }) => { await this.#session.cancel(to, job) })
-    else if ('settle' in step) await this.#settle(step.settle)
+    else if ('fetch' in step) {
+      const { group, via, waitMs } = step.fetch
+      this.#runBeside('fetch', this.#forEachJob(group, via, async (to, { job }) => { await this.#session.fetch(to, job, waitMs) }))
+    } else if ('settle' in step) await this.#settle(step.settle)
     else if ('edit' in step) await this.#edit(step.edit)
     else if ('race' in step) await this.#race(step.race)
     else if ('readLists' in step) await Promise.all(step.readLists.via.map(async seat => await this.#session.readLists(this.#findEntry(seat))))
@@ -122,14 +126,17 @@
       await this.#paused.get(step.resume)?.end()
       this.#paused.delete(step.resume)
     } else if ('replace' in step) {
-      const [domain, seat] = this.#resolveSeat(step.replace).split('.') as [string, string]
-      await this.#cluster.startEntry(domain, Number(seat))
+      const name = typeof step.replace === 'string' ? step.replace : step.replace.seat
+      const [domain, seat] = this.#resolveSeat(name).split('.') as [string, string]
+      const started = this.#cluster.startEntry(domain, Number(seat)).then(() => {})
+      if (typeof step.replace === 'string') await started
+      else this.#runBeside('replace', started)
     } else if ('stop' in step) {
       const { name } = this.#findEntry(step.stop.seat)
       const stopped = this.#cluster.stopEntry(name).then(code => { this.#lastExitCode = code })
-      if (step.stop.background) this.#stops.push(stopped)
+      if (step.stop.background) this.#runBeside('stop', stopped)
       else await stopped
-    } else if ('join' in step) await Promise.all(this.#stops)
+    } else if ('join' in step) await Promise.all(this.#joinable)
     else if ('platform' in step) this.#active.push(await this.#faults.disturbPlatform(`platform ${Object.keys(step.platform).join()}`, step.platform))
     else if ('cut' in step) await this.#cut(step.cut)
     else if ('silence' in step) await this.#silence(step.silence)
@@ -142,6 +149,10 @@
     else if ('heal' in step) await this.#heal()
   }
 
+  #runBeside (name: string, step: Promise<void>): void {
+    this.#joinable.push(step.catch((error: unknown) => { this.#problems.push(`${name} in the background: ${String(error)}`) }))
+  }
+
   /** Resolves `owner:GROUP` to the seat that issued the first key of the group. */
   #resolveSeat (name: string): string {
     if (!name.startsWith('owner:')) return name
--- a/packages/bench/src/scenario-schema.ts
+++ b/packages/bench/src/scenario-schema.ts
@@ -82,6 +82,8 @@
   /** Submits each job of a group again with the same key. */
   z.strictObject({ resubmit: z.strictObject({ group: z.string(), via: z.array(seatSchema).min(1), times: z.int().min(1).default(1) }) }),
   z.strictObject({ cancel: z.strictObject({ group: z.string(), via: z.array(seatSchema).min(1) }) }),
+  /** Fetches each job of a group once, in the background. */
+  z.strictObject({ fetch: z.strictObject({ group: z.string(), via: z.array(seatSchema).min(1), waitMs: z.int().min(0) }) }),
   /** Follows each job of the groups until it has an answer, through the given seats in turn. */
   z.strictObject({ settle: z.strictObject({ groups: z.array(z.string()).optional(), via: z.array(seatSchema).min(1), timeoutMs: z.int().default(30_000) }) }),
   /** Edits the limits: changes the named plans, keeps the others. */
@@ -97,11 +99,11 @@
   z.strictObject({ pause: z.string() }),
   z.strictObject({ resume: z.string() }),
   /** Starts a new process in a seat. */
-  z.strictObject({ replace: seatSchema }),
+  z.strictObject({ replace: z.union([seatSchema, z.strictObject({ seat: seatSchema, background: z.literal(true) })]) }),
   /** Stops an entry instance as planned. */
   z.strictObject({ stop: z.strictObject({ seat: seatSchema, background: z.boolean().default(false) }) }),
-  /** Waits for the planned stops that run in the background. */
-  z.strictObject({ join: z.literal('stops') }),
+  /** Waits for the stops, replacements and fetches that run in the background. */
+  z.strictObject({ join: z.literal('all') }),
   z.strictObject({ platform: platformFaultsSchema }),
   z.strictObject({ cut: z.strictObject({ between: z.tuple([z.string(), z.string()]).optional(), platform: z.array(z.string()).optional(), direction: directionSchema }) }),
   z.strictObject({ silence: z.enum(['peers', 'targets', 'platform', 'all']) }),
