--- a/packages/entry/src/forwarding.ts
+++ b/packages/entry/src/forwarding.ts
@@ -12,9 +12,12 @@
 /** Carries requests about jobs to the instance that issued their key. */
 export class Forwarding {
   readonly #peers: PeerClients
+  readonly #isLeaving: () => boolean
 
-  constructor (peers: PeerClients) {
+  /** @param isLeaving - whether the planned stop has begun; waits for answers then end early */
+  constructor (peers: PeerClients, isLeaving: () => boolean) {
     this.#peers = peers
+    this.#isLeaving = isLeaving
   }
 
   /**
@@ -59,7 +62,7 @@
     let reply = first
     while (reply.kind === 'state' && reply.state.state === 'running') {
       const left = until - performance.now()
-      if (left < 1) break
+      if (left < 1 || this.#isLeaving()) break
       const request = { key, customers: copyCustomers(customers), waitMs: clampWait(left), traceparent }
       const next = await this.#tryOwner(async () => await this.#peers.fetchJob(address, request))
       if (next.kind !== 'replied') return refuse('OutcomeUnknown', key, next.message)
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -9,8 +9,8 @@
 /** Pause in milliseconds between two polls of the platform. */
 const pollIntervalMs = 1_000
 
-/** Time in milliseconds that responses under way have when a server stops. */
-const closeGraceMs = 2_000
+/** Time in milliseconds that responses under way have when a server stops; a forwarded wait takes up to 2 s to end. */
+const closeGraceMs = 10_000
 
 /** A superseded instance ends after this time in milliseconds at the latest: start window, longest lease and margin. */
 const supersededDrainMs = 12_000
--- a/packages/entry/src/list-editor.ts
+++ b/packages/entry/src/list-editor.ts
@@ -1,5 +1,5 @@
 import { type Configuration, createResultError } from '@sesamereel/state'
-import { createProblemError, type EditReply, type ListEdit, OperatorService } from '@sesamereel/transport'
+import { createProblemError, createRequestError, type EditReply, type ListEdit, OperatorService } from '@sesamereel/transport'
 import { applyEdit, listChanges, listContradictions } from './configuration-edit.js'
 import { type ConfigurationStore, parseConfigurationRow } from './configuration-store.js'
 
@@ -10,6 +10,8 @@
   readonly store: ConfigurationStore
   /** Reads the lists in force. */
   readonly readInForce: () => Configuration
+  /** Tells why the instance has no lists in force yet; undefined when it has. */
+  readonly explainStarting: () => string | undefined
   /** Puts committed lists in force. */
   readonly offer: (configuration: Configuration) => void
   readonly describeInstance: () => unknown
@@ -36,6 +38,9 @@
   }
 
   override async readLists (): Promise<Configuration> {
+    // An instance that has just started applies no lists yet; showing empty ones would look like a reversion.
+    const reason = this.#options.explainStarting()
+    if (reason !== undefined) throw createRequestError('NotReady', reason)
     const read = await this.#readNewest()
     return read ?? this.#options.readInForce()
   }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -215,14 +215,15 @@
   }
 }
 
-function createCallers ({ localJobs, peers, archive, tracing, issueLocally, routeToOwner, routeToHome }: Cradle): JobRouter {
-  return new JobRouter({ localJobs, forwarding: new Forwarding(peers), archive, peers, tracing, issueLocally, routeKey: routeToOwner, routeHome: routeToHome })
+function createCallers ({ localJobs, peers, phase, archive, tracing, issueLocally, routeToOwner, routeToHome }: Cradle): JobRouter {
+  return new JobRouter({ localJobs, forwarding: new Forwarding(peers, () => phase.isLeaving()), archive, peers, tracing, issueLocally, routeKey: routeToOwner, routeHome: routeToHome })
 }
 
 function createEditor (cradle: Cradle): (parts: Cradle) => ListEditor {
-  return ({ store, holder, log }) => new ListEditor({
+  return ({ store, holder, log, phase }) => new ListEditor({
     store,
     readInForce: () => holder.current,
+    explainStarting: () => phase.isLeaving() ? undefined : phase.explainNotReady(),
     offer: configuration => { cradle.sync.offer(configuration, 'store') },
     describeInstance: () => describeInstance(cradle),
     observeEdit: (edit, outcome, version) => { log.log('info', 'list-edit', { list: edit.list, edit: edit.editId, base: edit.baseVersion, outcome, version }) }
--- a/packages/entry/test/list-editor.test.ts
+++ b/packages/entry/test/list-editor.test.ts
@@ -26,6 +26,7 @@
   const editor = new ListEditor({
     store: new ConfigurationStore(client),
     readInForce: () => inForce,
+    explainStarting: () => undefined,
     offer: configuration => { if (configuration.version > inForce.version) inForce = configuration },
     describeInstance: () => ({}),
     observeEdit: () => {}
