--- /dev/null
+++ b/packages/fleet/src/dispatch-keeper.ts
@@ -0,0 +1,232 @@
+import { type Clock } from '@sesamereel/coordination'
+import { decideCandidacy, rankInstances } from './candidacy.js'
+import { type Directory, directoryTable, type DispatcherEntry, formatDispatcherKey, formatInstanceKey, type InstanceEntry, parseDispatcherRow } from './directory.js'
+import { Dispatcher, type DispatcherOptions } from './dispatcher.js'
+import { type DomainLink } from './domain-link.js'
+import { type EventLog } from './event-log.js'
+import { type FleetMetrics } from './fleet-metrics.js'
+import { type MetadataStore } from './metadata-store.js'
+import { type OwnerServer } from './owner-server.js'
+import { type TargetList } from './target-list.js'
+
+/** Pause in milliseconds between two checks. */
+const tickMs = 50
+
+/** Successors that a row names. */
+const successorCount = 3
+
+/** Fencing tokens that belong to one revision: the holder and its successors. */
+export const tokensPerRevision = 16
+
+/** Time in milliseconds that a planned successor has to claim before the old dispatcher ends. */
+const handOverMs = 700
+
+/** Pause in milliseconds between two tries to write rows that the store did not take. */
+const writeRetryMs = 500
+
+/** A target of a domain answers, so an instance of another domain may dispatch there. */
+export abstract class DomainProbe {
+  abstract canReach (domain: string): Promise<boolean>
+}
+
+export interface KeeperOptions {
+  readonly self: InstanceEntry
+  readonly store: MetadataStore
+  readonly directory: Directory
+  readonly targets: TargetList
+  readonly server: OwnerServer
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly metrics: FleetMetrics
+  readonly probe: DomainProbe
+  readonly createOptions: (domain: string, token: number, onSuperseded: () => void) => DispatcherOptions
+}
+
+/**
+ * Decides when this instance becomes a dispatcher and when it ceases to be one. The row of the
+ * domain names the holder; its revision is the fencing token, so holders need no lease.
+ */
+export class DispatchKeeper {
+  readonly #options: KeeperOptions
+  readonly #links = new Map<string, DomainLink>()
+  readonly #claiming = new Set<string>()
+  #registeredAt = -Infinity
+  #isRegistered = false
+  #storeReachable = true
+  #leaving = false
+  #cancelTick: (() => void) | undefined
+
+  constructor (options: KeeperOptions) {
+    this.#options = options
+  }
+
+  addLink (link: DomainLink): void {
+    this.#links.set(link.domain, link)
+  }
+
+  start (): void {
+    this.#tick()
+  }
+
+  /** Hands over all domains and waits until successors hold them, or for a bounded time. */
+  async leave (): Promise<void> {
+    this.#leaving = true
+    await Promise.all(this.#options.server.listDispatchers().map(async dispatcher => { await this.#handOver(dispatcher) }))
+    await this.#options.store.write({ table: directoryTable, key: formatInstanceKey(this.#options.self.instance) })
+  }
+
+  close (): void {
+    this.#cancelTick?.()
+    for (const dispatcher of this.#options.server.listDispatchers()) this.#stopDispatcher(dispatcher, 'the instance stops')
+  }
+
+  /** Takes over a domain that its dispatcher hands to this instance. */
+  takeOver (domain: string): void {
+    if (this.#leaving || this.#options.server.findDispatcher(domain) !== undefined) return
+    this.#beginClaim(domain, 'handed-over')
+  }
+
+  /** Gives up domains whose rows name another holder. */
+  onDirectory (): void {
+    const { directory, self, server } = this.#options
+    for (const dispatcher of server.listDispatchers()) {
+      const entry = directory.findDispatcher(dispatcher.domain)
+      if (entry === undefined || entry.incarnation === self.incarnation) continue
+      if (entry.revision * tokensPerRevision > dispatcher.token) this.#stopDispatcher(dispatcher, `the row names ${entry.instance}`)
+    }
+    for (const link of this.#links.values()) link.wake()
+  }
+
+  #tick (): void {
+    this.#cancelTick = this.#options.clock.startTimer(tickMs, () => { this.#tick() })
+    this.#register()
+    if (this.#leaving) return
+    for (const [domain, link] of this.#links) this.#checkDomain(domain, link)
+  }
+
+  #register (): void {
+    const { self, store, clock, directory } = this.#options
+    const known = directory.findInstance(self.instance)
+    if (this.#leaving || (this.#isRegistered && (known === undefined || known.incarnation === self.incarnation))) return
+    if (clock.now() - this.#registeredAt < writeRetryMs) return
+    this.#registeredAt = clock.now()
+    store.write({ table: directoryTable, key: formatInstanceKey(self.instance), value: JSON.stringify(self) })
+      .then(reply => {
+        this.#storeReachable = reply.kind === 'committed' || reply.kind === 'conflict'
+        this.#isRegistered = reply.kind === 'committed'
+        if (!this.#isRegistered) this.#options.log.log('belief', 'registration-failed', { reply: reply.kind })
+      })
+      .catch((error: unknown) => { this.#options.log.logError('registration', error) })
+  }
+
+  #checkDomain (domain: string, link: DomainLink): void {
+    const { self, directory, server } = this.#options
+    if (link.isConnected || this.#claiming.has(domain) || !directory.isLoaded || server.findDispatcher(domain) !== undefined) return
+    const entry = directory.findDispatcher(domain)
+    if (entry?.incarnation === self.incarnation) {
+      // A claim of ours took effect although its reply was lost.
+      this.#becomeDispatcher(domain, entry.revision * tokensPerRevision, 'claim-found')
+      return
+    }
+    const successor = entry?.successors.findIndex(other => other.incarnation === self.incarnation) ?? -1
+    const candidacy = decideCandidacy({
+      self,
+      domain,
+      members: directory.listInstances(domain),
+      lostMs: link.measureLostMs(),
+      successorRank: successor < 0 ? undefined : successor,
+      storeReachable: this.#storeReachable,
+      lostHolder: link.isHolderGone ? entry?.instance : undefined
+    })
+    if (candidacy === 'claim') this.#beginClaim(domain, `lost for ${Math.round(link.measureLostMs())} ms`)
+    else if (candidacy === 'take-over-without-store') this.#becomeDispatcher(domain, entry!.revision * tokensPerRevision + successor + 1, 'without-store')
+  }
+
+  #beginClaim (domain: string, reason: string): void {
+    if (this.#claiming.has(domain)) return
+    this.#claiming.add(domain)
+    this.#claim(domain, reason)
+      .catch((error: unknown) => { this.#options.log.logError('claim', error) })
+      .finally(() => { this.#claiming.delete(domain) })
+  }
+
+  async #claim (domain: string, reason: string): Promise<void> {
+    const { self, store, directory, probe } = this.#options
+    if (self.domain !== domain && !await probe.canReach(domain)) return
+    const before = directory.findDispatcher(domain)
+    const current = await this.#readRow(domain)
+    if (current === 'unavailable') return
+    if (current !== undefined && current.revision !== (before?.revision ?? 0)) {
+      directory.noteDispatcher(current)
+      if (current.incarnation !== self.incarnation) return
+    }
+    const value = { domain, instance: self.instance, incarnation: self.incarnation, address: self.address, successors: this.#pickSuccessors(domain) }
+    const reply = await store.write({ table: directoryTable, key: formatDispatcherKey(domain), expectedRevision: current?.revision ?? 0, value: JSON.stringify(value) })
+    this.#options.log.log('belief', 'claim', { domain, reason, expectedRevision: current?.revision ?? 0, previous: current?.instance, reply: reply.kind, revision: reply.kind === 'committed' ? reply.revision : undefined })
+    this.#storeReachable = reply.kind === 'committed' || reply.kind === 'conflict'
+    if (reply.kind === 'committed') {
+      directory.noteDispatcher({ ...value, revision: reply.revision })
+      this.#becomeDispatcher(domain, reply.revision * tokensPerRevision, 'claimed')
+    } else if (reply.kind === 'conflict' || reply.kind === 'unknown') {
+      const newest = await this.#readRow(domain)
+      if (newest !== undefined && newest !== 'unavailable') directory.noteDispatcher(newest)
+    }
+  }
+
+  async #readRow (domain: string): Promise<DispatcherEntry | undefined | 'unavailable'> {
+    const reply = await this.#options.store.read(directoryTable, formatDispatcherKey(domain))
+    this.#storeReachable = reply.kind === 'rows'
+    if (reply.kind !== 'rows') return 'unavailable'
+    const row = reply.rows[0]
+    if (row === undefined) return undefined
+    const entry = parseDispatcherRow(row)
+    return entry ?? { domain, instance: '', incarnation: '', address: '', successors: [], revision: row.revision }
+  }
+
+  #pickSuccessors (domain: string): readonly InstanceEntry[] {
+    const { directory, self } = this.#options
+    return rankInstances(directory.listInstances(domain).filter(entry => entry.instance !== self.instance)).slice(0, successorCount)
+  }
+
+  #becomeDispatcher (domain: string, token: number, how: string): void {
+    const { server, targets, log, metrics } = this.#options
+    if (this.#leaving) return
+    const known = server.findDispatcher(domain)
+    if (known !== undefined) {
+      known.raiseToken(token)
+      return
+    }
+    log.log('belief', 'dispatcher-begins', { domain, token, how, targetsAgeMs: Math.round(targets.measureAge()) })
+    metrics.countTakeover(how)
+    const dispatcher: Dispatcher = new Dispatcher(this.#options.createOptions(domain, token, () => { this.#stopDispatcher(dispatcher, 'a higher token is in force') }))
+    server.addDispatcher(dispatcher)
+    targets.addDispatcher(dispatcher)
+    this.#links.get(domain)?.wake()
+  }
+
+  #stopDispatcher (dispatcher: Dispatcher, reason: string): void {
+    if (dispatcher.isStopped) return
+    this.#options.log.log('belief', 'dispatcher-ends', { domain: dispatcher.domain, token: dispatcher.token, reason })
+    dispatcher.stop()
+    this.#options.targets.removeDispatcher(dispatcher)
+    this.#options.server.removeDispatcher(dispatcher, reason)
+  }
+
+  async #handOver (dispatcher: Dispatcher): Promise<void> {
+    const { server, directory, self, clock, log } = this.#options
+    const { domain } = dispatcher
+    const connected = server.listConnected(domain)
+    const candidates = directory.listInstances().filter(entry => entry.instance !== self.instance && connected.has(entry.instance))
+    const own = rankInstances(candidates.filter(entry => entry.domain === domain))
+    const successor = own[0] ?? rankInstances(candidates)[0]
+    log.log('belief', 'hand-over', { domain, successor: successor?.instance, candidates: candidates.length })
+    if (successor === undefined) return
+    dispatcher.freeze()
+    server.notifyInstance(domain, successor.instance, { type: 'hand-over', successor: successor.instance })
+    const until = clock.now() + handOverMs
+    while (!dispatcher.isStopped && clock.now() < until) {
+      await new Promise<void>(resolve => { clock.startTimer(10, resolve) })
+    }
+    this.#stopDispatcher(dispatcher, 'handed over')
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/domain-link.ts
@@ -0,0 +1,235 @@
+import { type Clock } from '@sesamereel/coordination'
+import { type ConfigurationRelay } from './configuration-relay.js'
+import { type Directory, type InstanceEntry } from './directory.js'
+import { type EventLog } from './event-log.js'
+import { type DispatcherMessage, type LoadDigest, type OwnerMessage } from './messages.js'
+import { type PeerConnector, type PeerStream } from './peer-streams.js'
+
+/** Pause in milliseconds between two heartbeats on a stream. */
+const heartbeatMs = 100
+
+/** Silence in milliseconds after which a stream counts as dead. */
+const silenceMs = 450
+
+/** Time in milliseconds for a connection and for the dispatcher's first message. */
+const openTimeoutMs = 200
+
+/** Pause in milliseconds after all addresses were tried. */
+const retryPauseMs = 60
+
+/** Hears of the state of links and of the dispatchers' messages. */
+export abstract class LinkObserver {
+  abstract onLinked (link: DomainLink, isNewDispatcher: boolean): void
+  abstract onUnlinked (link: DomainLink): void
+  abstract onDispatcherMessage (link: DomainLink, message: DispatcherMessage): void
+  abstract onLoad (link: DomainLink): void
+}
+
+/** A dispatcher in this process, which needs no stream. */
+export abstract class LocalDispatchers {
+  /** @returns a stream to the local dispatcher of the domain, or undefined when there is none */
+  abstract open (domain: string, onMessage: (message: DispatcherMessage) => void, onClose: (reason: string) => void): PeerStream | undefined
+}
+
+export interface DomainLinkOptions {
+  readonly domain: string
+  readonly self: InstanceEntry
+  readonly directory: Directory
+  readonly connector: PeerConnector
+  readonly local: LocalDispatchers
+  readonly relay: ConfigurationRelay
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly observer: LinkObserver
+}
+
+interface Endpoint {
+  readonly instance: string
+  readonly incarnation: string
+  readonly address: string
+}
+
+/**
+ * This instance's connection to the dispatcher of one domain. It finds the holder by the
+ * directory, then by the successors, and notices silence by heartbeats.
+ */
+export class DomainLink {
+  readonly #options: DomainLinkOptions
+  #stream: PeerStream | undefined
+  #connected = false
+  #token = 0
+  #load: LoadDigest | undefined
+  #lingering: ReadonlySet<string> = new Set()
+  #lostAt: number
+  #heardAt = 0
+  #holder: Endpoint | undefined
+  /** Whether the last try proved that the named holder's process is gone. */
+  #holderGone = false
+  #closed = false
+  #opening = false
+  #cancelTimer: (() => void) | undefined
+
+  constructor (options: DomainLinkOptions) {
+    this.#options = options
+    this.#lostAt = options.clock.now()
+  }
+
+  get domain (): string { return this.#options.domain }
+  get isConnected (): boolean { return this.#connected }
+  get token (): number { return this.#token }
+  get load (): LoadDigest | undefined { return this.#load }
+  get holder (): string | undefined { return this.#holder?.instance }
+  get isHolderGone (): boolean { return this.#holderGone }
+
+  /** @returns milliseconds without a connection; 0 while connected */
+  measureLostMs (): number {
+    return this.#connected ? 0 : this.#options.clock.now() - this.#lostAt
+  }
+
+  /** @returns whether the dispatcher may still run a job that is sent again */
+  isLingering (jobId: string): boolean {
+    return this.#lingering.has(jobId)
+  }
+
+  start (): void {
+    this.#beat()
+  }
+
+  close (): void {
+    this.#closed = true
+    this.#cancelTimer?.()
+    this.#stream?.close('the link is closed')
+  }
+
+  send (message: OwnerMessage): void {
+    this.#stream?.send(message)
+  }
+
+  /** Reduces the known load by work that was just sent, until the next heartbeat. */
+  noteSubmitted (processors: number): void {
+    if (this.#load === undefined) return
+    this.#load = { ...this.#load, freeProcessors: this.#load.freeProcessors - processors }
+  }
+
+  /** Tries again at once, because the directory or a local dispatcher has changed. */
+  wake (): void {
+    if (this.#closed) return
+    const named = this.#options.directory.findDispatcher(this.domain)
+    const isOther = named !== undefined && this.#holder !== undefined && named.incarnation !== this.#holder.incarnation && named.revision * 16 > this.#token
+    if (this.#connected && isOther) this.#stream?.close('another dispatcher holds the domain')
+    if (!this.#connected) this.#connect()
+  }
+
+  #beat (): void {
+    if (this.#closed) return
+    this.#cancelTimer = this.#options.clock.startTimer(this.#connected ? heartbeatMs : retryPauseMs, () => { this.#beat() })
+    if (!this.#connected) {
+      this.#connect()
+      return
+    }
+    if (this.#options.clock.now() - this.#heardAt > silenceMs) {
+      this.#stream?.close('silent')
+      return
+    }
+    this.#stream?.send({ type: 'ping', configurationVersion: this.#options.relay.version } satisfies OwnerMessage)
+  }
+
+  #connect (): void {
+    if (this.#opening || this.#connected || this.#closed) return
+    this.#opening = true
+    this.#tryEndpoints()
+      .catch((error: unknown) => { this.#options.log.logError('domain-link', error) })
+      .finally(() => { this.#opening = false })
+  }
+
+  async #tryEndpoints (): Promise<void> {
+    if (this.#openLocal()) return
+    const named = this.#options.directory.findDispatcher(this.domain)
+    if (named === undefined) return
+    for (const endpoint of [named, ...named.successors]) {
+      if (endpoint.incarnation === this.#options.self.incarnation) continue
+      const isGone = await this.#tryEndpoint(endpoint)
+      if (endpoint.incarnation === named.incarnation) this.#holderGone = isGone
+      if (this.#connected || this.#closed) return
+      // Without a dispatcher in the domain its instances claim the row; only then successors matter.
+      if (this.#openLocal()) return
+    }
+  }
+
+  #openLocal (): boolean {
+    const { local, domain, self } = this.#options
+    const stream = local.open(domain, message => { this.#handle(message, self) }, reason => { this.#handleClose(stream, reason) })
+    if (stream === undefined) return false
+    this.#stream = stream
+    stream.send({ type: 'hello', instance: self.instance, incarnation: self.incarnation, domain })
+    return true
+  }
+
+  /** @returns whether the endpoint's process is surely not the dispatcher any more */
+  async #tryEndpoint (endpoint: Endpoint): Promise<boolean> {
+    const { connector, self, clock } = this.#options
+    let finish: (isGone: boolean) => void = () => {}
+    const settled = new Promise<boolean>(resolve => { finish = resolve })
+    const result = await connector.open(endpoint.address, openTimeoutMs, {
+      onMessage: message => {
+        const received = message as DispatcherMessage
+        this.#handle(received, endpoint)
+        if (received.type === 'welcome') finish(false)
+        if (received.type === 'not-dispatching') finish(true)
+      },
+      onClose: reason => {
+        this.#handleClose(result.kind === 'open' ? result.stream : undefined, reason)
+        finish(false)
+      }
+    })
+    if (result.kind !== 'open') return result.kind === 'refused'
+    this.#stream = result.stream
+    result.stream.send({ type: 'hello', instance: self.instance, incarnation: self.incarnation, domain: this.domain } satisfies OwnerMessage)
+    const cancel = clock.startTimer(openTimeoutMs, () => { finish(false) })
+    const isGone = await settled
+    cancel()
+    if (!this.#connected) result.stream.close('no welcome')
+    return isGone
+  }
+
+  #handle (message: DispatcherMessage, endpoint: Endpoint): void {
+    this.#heardAt = this.#options.clock.now()
+    switch (message.type) {
+      case 'welcome': this.#handleWelcome(message.token, endpoint); return
+      case 'not-dispatching': this.#stream?.close('not dispatching'); return
+      case 'configuration': this.#options.relay.offer(message, `dispatcher of ${this.domain}`); return
+      case 'pong': this.#handlePong(message); return
+      default: this.#options.observer.onDispatcherMessage(this, message)
+    }
+  }
+
+  #handleWelcome (token: number, endpoint: Endpoint): void {
+    const isNew = token !== this.#token
+    this.#connected = true
+    this.#holderGone = false
+    this.#token = token
+    this.#holder = endpoint
+    this.#options.log.log('belief', 'dispatcher-linked', { domain: this.domain, holder: endpoint.instance, token, afterMs: Math.round(this.#heardAt - this.#lostAt) })
+    this.#options.observer.onLinked(this, isNew)
+  }
+
+  #handlePong (message: Extract<DispatcherMessage, { type: 'pong' }>): void {
+    this.#load = message.load
+    if (message.lingering !== undefined) this.#lingering = new Set(message.lingering)
+    const { current } = this.#options.relay
+    if (current !== undefined && message.configurationVersion < current.version) this.send({ type: 'configuration', ...current })
+    this.#options.observer.onLoad(this)
+  }
+
+  #handleClose (stream: PeerStream | undefined, reason: string): void {
+    if (stream === undefined || stream !== this.#stream) return
+    this.#stream = undefined
+    if (!this.#connected) return
+    this.#connected = false
+    this.#load = undefined
+    this.#lostAt = this.#options.clock.now()
+    this.#options.log.log('belief', 'dispatcher-lost', { domain: this.domain, holder: this.#holder?.instance, token: this.#token, reason, heardMsAgo: Math.round(this.#lostAt - this.#heardAt) })
+    this.#options.observer.onUnlinked(this)
+    if (!this.#closed) this.#connect()
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/job-owner.ts
@@ -0,0 +1,315 @@
+import { type Clock } from '@sesamereel/coordination'
+import { canTakeWaiting, chooseDomain } from './domain-choice.js'
+import { type DomainLink, LinkObserver } from './domain-link.js'
+import { type EventLog } from './event-log.js'
+import { type FleetMetrics } from './fleet-metrics.js'
+import { type JobSpec, type RejectionReason } from './job-types.js'
+import { type FleetLimits } from './limits.js'
+import { type DispatcherMessage, type LoadDigest } from './messages.js'
+import { type JobAnswer, OwnedJob } from './owned-job.js'
+
+/** Pause in milliseconds between two checks of jobs whose time is over. */
+const tickMs = 50
+
+/** Shortest time in milliseconds that a job waits at a dispatcher before another domain may take it. */
+const moveAfterMs = 15
+
+/**
+ * Time in milliseconds after the loss of a dispatcher after which nothing of its jobs runs any
+ * more, even if it lives: silence, grace for owners, and the longest lease.
+ */
+const lostDispatcherMs = 2_300
+
+/** Retry time in milliseconds told to a caller while no dispatcher is connected. */
+const noDispatcherRetryMs = 500
+
+/** A caller's hold on a job. */
+export interface JobTicket {
+  readonly answer: Promise<JobAnswer>
+  /** The caller has left; the job ends when nobody else waits for it. */
+  readonly leave: (reason: string) => void
+}
+
+export interface JobOwnerOptions {
+  readonly homeDomain: string
+  readonly clock: Clock
+  readonly limits: FleetLimits
+  readonly log: EventLog
+  readonly metrics: FleetMetrics
+}
+
+/**
+ * Owns the jobs that this instance accepted: chooses their domains, submits them, submits them
+ * again after a takeover, and answers their callers. A job is at one dispatcher at a time: it goes
+ * to another only after a rejection, a confirmed withdrawal, or when nothing of it can run any more.
+ */
+export class JobOwner extends LinkObserver {
+  readonly #options: JobOwnerOptions
+  readonly #links = new Map<string, DomainLink>()
+  readonly #jobs = new Map<string, OwnedJob>()
+  readonly #cancellations = new Map<string, Map<string, (found: boolean) => void>>()
+  readonly #handOver: (domain: string, successor: string) => void
+  #cancelTick: (() => void) | undefined
+
+  /**
+   * @param handOver - called when a dispatcher asks this instance to take over its domain
+   */
+  constructor (options: JobOwnerOptions, handOver: (domain: string, successor: string) => void) {
+    super()
+    this.#options = options
+    this.#handOver = handOver
+    this.#scheduleTick()
+  }
+
+  get jobCount (): number { return this.#jobs.size }
+
+  addLink (link: DomainLink): void {
+    this.#links.set(link.domain, link)
+  }
+
+  hasJob (jobId: string): boolean {
+    return this.#jobs.has(jobId)
+  }
+
+  /** @returns whether a dispatcher is connected */
+  isServing (): boolean {
+    return [...this.#links.values()].some(link => link.isConnected)
+  }
+
+  /**
+   * Accepts a job, or attaches the caller to the job of this id.
+   *
+   * @param patienceMs - time for which the caller waits
+   */
+  submit (spec: JobSpec, patienceMs: number): JobTicket {
+    const known = this.#jobs.get(spec.id)
+    const job = known ?? new OwnedJob(spec, patienceMs, this.#options.clock.now())
+    let waiter: (answer: JobAnswer) => void = () => {}
+    const answer = new Promise<JobAnswer>(resolve => { waiter = resolve })
+    job.addWaiter(waiter)
+    if (known === undefined) {
+      this.#jobs.set(spec.id, job)
+      this.#place(job)
+    }
+    return { answer, leave: reason => { this.#leave(job, waiter, reason) } }
+  }
+
+  /**
+   * Cancels a job that any instance may own.
+   *
+   * @returns whether a dispatcher or this instance knew it
+   */
+  async cancel (jobId: string, timeoutMs: number): Promise<boolean> {
+    const own = this.#jobs.get(jobId)
+    if (own !== undefined) this.#finish(own, { kind: 'failed', reason: 'cancelled' }, 'cancelled by a caller')
+    const connected = [...this.#links.values()].filter(link => link.isConnected)
+    const replies = await Promise.all(connected.map(async link => await this.#askCancel(link, jobId, timeoutMs)))
+    return own !== undefined || replies.includes(true)
+  }
+
+  /** Ends every job that is left, when the process must stop. */
+  finishAll (reason: string): void {
+    for (const job of [...this.#jobs.values()]) this.#giveUp(job, reason)
+  }
+
+  close (): void {
+    this.#cancelTick?.()
+  }
+
+  override onLinked (link: DomainLink): void {
+    for (const job of [...this.#jobs.values()]) {
+      if (job.place.kind === 'submitted' && job.place.domain === link.domain) this.#send(job, link, true)
+      else if (job.place.kind === 'withdrawing' && job.place.domain === link.domain) this.#send(job, link, true)
+      else if (job.place.kind === 'none') this.#place(job)
+    }
+  }
+
+  override onUnlinked (link: DomainLink): void {
+    let count = 0
+    for (const job of this.#jobs.values()) {
+      if (job.place.kind === 'none' || job.place.domain !== link.domain) continue
+      job.mayHaveStarted = true
+      count++
+    }
+    if (count > 0) this.#options.log.log('belief', 'jobs-await-dispatcher', { domain: link.domain, jobs: count, token: link.token })
+  }
+
+  override onLoad (link: DomainLink): void {
+    const { load } = link
+    if (load === undefined || load.queuedJobs > 0) return
+    this.#moveWaiting(link, load)
+  }
+
+  override onDispatcherMessage (link: DomainLink, message: DispatcherMessage): void {
+    switch (message.type) {
+      case 'started':
+        for (const jobId of message.jobIds) {
+          const job = this.#find(jobId, link)
+          if (job !== undefined) job.mayHaveStarted = true
+        }
+        return
+      case 'progress': {
+        const job = this.#find(message.jobId, link)
+        for (const position of message.done) job?.done.add(position)
+        return
+      }
+      case 'ended': {
+        const job = this.#find(message.jobId, link)
+        if (job === undefined) return
+        const { outcome } = message
+        this.#answer(job, outcome.kind === 'completed' ? outcome : { kind: 'failed', reason: outcome.reason })
+        return
+      }
+      case 'rejected': this.#handleRejection(link, message.jobId, message.reason, message.retryAfterMs); return
+      case 'withdrawn': this.#handleWithdrawn(link, message.jobId); return
+      case 'cancelled-any': this.#cancellations.get(message.jobId)?.get(link.domain)?.(message.found); return
+      case 'hand-over': this.#handOver(link.domain, message.successor); return
+      default:
+    }
+  }
+
+  /** @returns the job if it is at the link's dispatcher */
+  #find (jobId: string, link: DomainLink): OwnedJob | undefined {
+    const job = this.#jobs.get(jobId)
+    return job !== undefined && job.place.kind !== 'none' && job.place.domain === link.domain ? job : undefined
+  }
+
+  /** Submits a job that is at no dispatcher. */
+  #place (job: OwnedJob): void {
+    const connected = [...this.#links.values()].filter(link => link.isConnected)
+    const holder = connected.find(link => link.isLingering(job.spec.id))
+    const options = connected
+      .filter(link => !job.rejectedBy.has(link.domain))
+      .map(link => ({ domain: link.domain, load: link.load, isHome: link.domain === this.#options.homeDomain }))
+    const chosen = holder?.domain ?? chooseDomain(options, job.need)?.domain
+    if (chosen === undefined) {
+      if (job.rejectedBy.size > 0) this.#answer(job, { kind: 'rejected', reason: 'overloaded', retryAfterMs: job.retryAfterMs })
+      return
+    }
+    this.#send(job, this.#links.get(chosen)!, job.mayHaveStarted)
+  }
+
+  #send (job: OwnedJob, link: DomainLink, resubmitted: boolean): void {
+    const now = this.#options.clock.now()
+    job.place = { kind: 'submitted', domain: link.domain, at: now }
+    const { load } = link
+    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, domain: link.domain, resubmitted, ageMs: Math.round(now - job.acceptedAt), token: link.token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs })
+    link.noteSubmitted(job.need.processors)
+    link.send({ type: 'submit', job: job.spec, ageMs: now - job.acceptedAt, resubmitted, done: [...job.done] })
+  }
+
+  #handleRejection (link: DomainLink, jobId: string, reason: RejectionReason, retryAfterMs: number): void {
+    const job = this.#find(jobId, link)
+    if (job === undefined) return
+    job.place = { kind: 'none' }
+    job.rejectedBy.add(link.domain)
+    job.retryAfterMs = job.rejectedBy.size === 1 ? retryAfterMs : Math.min(job.retryAfterMs, retryAfterMs)
+    const others = [...this.#links.values()].filter(other => other.isConnected && !job.rejectedBy.has(other.domain))
+    const now = this.#options.clock.now()
+    const isWorthwhile = reason !== 'overloaded' || others.some(other => (other.load?.waitMs ?? 0) < job.spec.usefulMs - (now - job.acceptedAt))
+    if (others.length > 0 && isWorthwhile) {
+      this.#place(job)
+      return
+    }
+    if (reason === 'fits-no-target' && !job.mayHaveStarted) this.#answer(job, { kind: 'failed', reason })
+    else this.#answer(job, job.mayHaveStarted ? { kind: 'unknown', reason } : { kind: 'rejected', reason, retryAfterMs: job.retryAfterMs })
+  }
+
+  #handleWithdrawn (link: DomainLink, jobId: string): void {
+    const job = this.#find(jobId, link)
+    if (job === undefined || job.place.kind !== 'withdrawing') return
+    const to = this.#links.get(job.place.to)
+    job.place = { kind: 'none' }
+    if (to?.isConnected === true) this.#send(job, to, false)
+    else this.#place(job)
+  }
+
+  /** Moves jobs that wait elsewhere to a domain that has room now. */
+  #moveWaiting (to: DomainLink, load: LoadDigest): void {
+    const now = this.#options.clock.now()
+    let free = load.freeProcessors / 2
+    for (const job of this.#jobs.values()) {
+      if (job.place.kind !== 'submitted' || job.place.domain === to.domain || job.mayHaveStarted) continue
+      if (now - job.place.at < moveAfterMs || job.rejectedBy.has(to.domain)) continue
+      const from = this.#links.get(job.place.domain)
+      if (from?.isConnected !== true || !canTakeWaiting({ ...load, freeProcessors: free }, job.need)) continue
+      free -= job.need.processors
+      job.place = { kind: 'withdrawing', domain: from.domain, to: to.domain }
+      this.#options.log.log('job', 'job-moves', { job: job.spec.id, from: from.domain, to: to.domain, free: load.freeProcessors, waitedMs: Math.round(now - job.acceptedAt) })
+      from.send({ type: 'withdraw', jobId: job.spec.id })
+    }
+  }
+
+  async #askCancel (link: DomainLink, jobId: string, timeoutMs: number): Promise<boolean> {
+    return await new Promise<boolean>(resolve => {
+      const pending = this.#cancellations.get(jobId) ?? new Map<string, (found: boolean) => void>()
+      this.#cancellations.set(jobId, pending)
+      const finish = (found: boolean): void => {
+        cancelTimer()
+        pending.delete(link.domain)
+        if (pending.size === 0) this.#cancellations.delete(jobId)
+        resolve(found)
+      }
+      const cancelTimer = this.#options.clock.startTimer(timeoutMs, () => { finish(false) })
+      pending.set(link.domain, finish)
+      link.send({ type: 'cancel-any', jobId })
+    })
+  }
+
+  #leave (job: OwnedJob, waiter: (answer: JobAnswer) => void, reason: string): void {
+    job.removeWaiter(waiter)
+    if (job.waiterCount > 0 || this.#jobs.get(job.spec.id) !== job) return
+    this.#options.metrics.countAnswer('abandoned', reason, this.#options.clock.now() - job.acceptedAt)
+    this.#finish(job, { kind: 'unknown', reason }, reason)
+  }
+
+  #answer (job: OwnedJob, answer: JobAnswer): void {
+    const ageMs = this.#options.clock.now() - job.acceptedAt
+    this.#jobs.delete(job.spec.id)
+    this.#options.metrics.countAnswer(answer.kind, answer.kind === 'completed' ? '' : answer.reason, ageMs)
+    this.#options.log.log('job', 'job-answered', {
+      job: job.spec.id,
+      answer: answer.kind,
+      reason: answer.kind === 'completed' ? undefined : answer.reason,
+      ageMs: Math.round(ageMs),
+      objectiveMs: Math.round(job.spec.objectiveMs),
+      domain: job.place.kind === 'none' ? undefined : job.place.domain,
+      mayHaveStarted: job.mayHaveStarted
+    })
+    job.answer(answer)
+  }
+
+  /** Ends a job whose dispatcher may still work on it. */
+  #finish (job: OwnedJob, answer: JobAnswer, reason: string): void {
+    if (job.place.kind !== 'none') this.#links.get(job.place.domain)?.send({ type: 'cancel', jobId: job.spec.id, reason })
+    this.#answer(job, answer)
+  }
+
+  #giveUp (job: OwnedJob, reason: string): void {
+    const isSafe = job.place.kind === 'none' && !job.mayHaveStarted
+    this.#finish(job, isSafe ? { kind: 'rejected', reason: 'no-dispatcher', retryAfterMs: noDispatcherRetryMs } : { kind: 'unknown', reason }, reason)
+  }
+
+  #scheduleTick (): void {
+    this.#cancelTick = this.#options.clock.startTimer(tickMs, () => {
+      this.#scheduleTick()
+      const now = this.#options.clock.now()
+      for (const job of [...this.#jobs.values()]) this.#checkJob(job, now)
+    })
+  }
+
+  #checkJob (job: OwnedJob, now: number): void {
+    const ageMs = now - job.acceptedAt
+    if (ageMs > job.patienceMs) {
+      this.#giveUp(job, 'the caller has stopped waiting')
+      return
+    }
+    const link = job.place.kind === 'none' ? undefined : this.#links.get(job.place.domain)
+    if (link?.isConnected === true) return
+    if (ageMs + job.spec.objectiveMs / 2 > job.spec.usefulMs) this.#giveUp(job, 'no dispatcher was connected in time')
+    else if (link !== undefined && link.measureLostMs() > lostDispatcherMs) {
+      job.place = { kind: 'none' }
+      this.#place(job)
+    } else if (link === undefined) this.#place(job)
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/load-meter.ts
@@ -0,0 +1,67 @@
+import { type LoadEstimate } from './admission.js'
+import { type JobRun } from './job-run.js'
+import { type LoadDigest } from './messages.js'
+import { type TargetSession } from './target-session.js'
+
+/** Part of the processors that tasks can use when they don't divide a target's room evenly. */
+const packingShare = 0.85
+
+/**
+ * Sums the work of a job that has not started, in processor milliseconds.
+ */
+export function sumWaitingWork (job: JobRun): number {
+  let work = 0
+  for (const task of job.tasks) {
+    if (task.state !== 'waiting' && task.state !== 'unlocated') continue
+    const step = job.getStep(task)
+    work += step.estimateMs * step.demand.processors
+  }
+  return work
+}
+
+/**
+ * Estimates what usable targets of a service do in a millisecond, in processor milliseconds.
+ */
+export function estimateRate (sessions: Iterable<TargetSession>, service: string | undefined, now: number): number {
+  let rate = 0
+  for (const session of sessions) {
+    if (service !== undefined && session.info.service !== service) continue
+    if (!session.isSeen || session.isSilent || session.info.draining || session.health.onProbation) continue
+    rate += session.info.capacity.processors / session.health.slowness
+  }
+  return rate * packingShare
+}
+
+/**
+ * Estimates the load that goes before a job.
+ *
+ * @param queue - jobs with waiting tasks
+ * @param beforeObjective - only work whose objective is earlier counts, as the queue serves it first
+ */
+export function estimateLoad (queue: Iterable<JobRun>, ratePerMs: number, service: string, beforeObjective: number): LoadEstimate {
+  let work = 0
+  for (const job of queue) {
+    if (job.spec.service === service && job.objectiveAt <= beforeObjective) work += sumWaitingWork(job)
+  }
+  return { workAheadMs: work, ratePerMs }
+}
+
+/**
+ * Summarises the load for the owners, who choose between domains by it.
+ */
+export function summarizeLoad (sessions: Iterable<TargetSession>, queue: readonly JobRun[], now: number): LoadDigest {
+  const list = [...sessions]
+  let free = 0
+  let usable = 0
+  let largest = 0
+  for (const session of list) {
+    if (!session.isUsable(now)) continue
+    usable += session.info.capacity.processors
+    free += session.free.processors
+    largest = Math.max(largest, session.free.processors)
+  }
+  const rate = estimateRate(list, undefined, now)
+  const work = queue.reduce((sum, job) => sum + sumWaitingWork(job), 0)
+  const waitMs = work === 0 ? 0 : rate > 0 ? work / rate : 60_000
+  return { freeProcessors: free, usableProcessors: usable, waitMs: Math.round(waitMs), queuedJobs: queue.length, largestFree: largest }
+}
--- /dev/null
+++ b/packages/fleet/src/owner-table.ts
@@ -0,0 +1,43 @@
+import { type OwnerPort } from './dispatcher.js'
+import { type DispatcherMessage } from './messages.js'
+
+/** Time in milliseconds that a lost owner has to connect again before its jobs are dropped. */
+const ownerGraceMs = 400
+
+/** The owners of jobs at one dispatcher. */
+export class OwnerTable {
+  readonly #ports = new Map<string, OwnerPort>()
+  readonly #lostAt = new Map<string, number>()
+
+  add (port: OwnerPort): void {
+    this.#ports.set(port.ownerId, port)
+    this.#lostAt.delete(port.ownerId)
+  }
+
+  remove (port: OwnerPort, now: number): void {
+    if (this.#ports.get(port.ownerId) !== port) return
+    this.#ports.delete(port.ownerId)
+    this.#lostAt.set(port.ownerId, now)
+  }
+
+  /** Records that jobs belong to this owner. */
+  follow (ownerId: string): void {
+    if (!this.#ports.has(ownerId) && !this.#lostAt.has(ownerId)) this.#lostAt.set(ownerId, 0)
+  }
+
+  isConnected (ownerId: string): boolean {
+    return this.#ports.has(ownerId)
+  }
+
+  send (ownerId: string, message: DispatcherMessage): void {
+    this.#ports.get(ownerId)?.send(message)
+  }
+
+  /** @returns owners that stayed away for longer than the grace time, each once */
+  takeExpired (now: number): readonly string[] {
+    const expired: string[] = []
+    for (const [ownerId, lostAt] of this.#lostAt) if (now - lostAt > ownerGraceMs) expired.push(ownerId)
+    for (const ownerId of expired) this.#lostAt.delete(ownerId)
+    return expired
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/target-session.ts
@@ -0,0 +1,367 @@
+import { type Clock } from '@sesamereel/coordination'
+import { type Demand } from '@sesamereel/state'
+import { type FleetLimits } from './limits.js'
+import { formatRunKey, type Run } from './run.js'
+import { TargetClock } from './target-clock.js'
+import { TargetHealth } from './target-health.js'
+import { type EndKind, type LookReply, type StartRejection, type TargetConnection, type TargetInfo, type TargetView } from './target-types.js'
+
+/** Time in milliseconds that a target has to answer a start or stop; a round trip takes about one. */
+const orderTimeoutMs = 150
+
+/** Time in milliseconds beyond the asked wait that a target has to answer a look. */
+const lookTimeoutMs = 250
+
+/** Time in milliseconds within which a start must reach the target; later it refuses the order. */
+const startWindowMs = 300
+
+/** Part of the longest lease that a look may wait; two looks fit into a lease. */
+const lookWaitShare = 0.45
+
+/** Pause in milliseconds between looks at a target that doesn't answer, doubled up to the longest. */
+const firstRetryMs = 50
+const longestRetryMs = 400
+
+/** Pause in milliseconds before a stop without an answer is sent again. */
+const stopRetryMs = 200
+
+/** Why a run is gone without an end in the target's list. */
+export type LossReason = 'lapsed' | 'restarted' | 'never-started' | 'not-listed'
+
+/** What a session tells its dispatcher; a dispatcher handles it at once and starts nothing from inside. */
+export abstract class SessionObserver {
+  abstract onAccepted (session: TargetSession, run: Run, tookMs: number): void
+  abstract onRejected (session: TargetSession, run: Run, reason: StartRejection | 'not-sent'): void
+  abstract onEnded (session: TargetSession, run: Run, how: EndKind): void
+  abstract onLost (session: TargetSession, run: Run, reason: LossReason): void
+  /** A run that this session did not start is running. */
+  abstract onFound (session: TargetSession, run: Run): void
+  /** A run that this session does not know has ended. */
+  abstract onUnknownEnd (session: TargetSession, task: string, how: EndKind): void
+  /** The target follows a higher token. */
+  abstract onSuperseded (session: TargetSession): void
+  /** An error that the session did not expect. */
+  abstract onFault (error: unknown): void
+  /** The target was seen, lost or regained; room may have changed. */
+  abstract onChanged (session: TargetSession, what: 'seen' | 'silent' | 'regained' | 'restarted' | 'looked'): void
+}
+
+/**
+ * One target as its dispatcher sees it: the runs there, their leases, the room that is reserved.
+ * Room stays reserved until the end of a run is listed, barred or lapsed, and each of these comes
+ * within a bounded time, so unanswered orders cannot take room for good.
+ */
+export class TargetSession {
+  readonly health = new TargetHealth()
+  readonly runs = new Map<string, Run>()
+  readonly #connection: TargetConnection
+  readonly #token: () => number
+  readonly #clock: Clock
+  readonly #limits: FleetLimits
+  readonly #observer: SessionObserver
+  readonly #targetClock = new TargetClock()
+  #info: TargetInfo
+  #bornMs: number | undefined
+  #lastSeen = 0
+  #seen = false
+  #silent = false
+  #closed = false
+  #unanswered = 0
+  #retryMs = firstRetryMs
+  #cancelRetry: (() => void) | undefined
+  #used = { processors: 0, memoryMb: 0, accelerators: 0 }
+  /** Runs whose room is not known; while there are any, the target counts as full. */
+  #unknownRuns = 0
+
+  constructor (info: TargetInfo, connection: TargetConnection, token: () => number, clock: Clock, limits: FleetLimits, observer: SessionObserver) {
+    this.#info = info
+    this.#connection = connection
+    this.#token = token
+    this.#clock = clock
+    this.#limits = limits
+    this.#observer = observer
+  }
+
+  get info (): TargetInfo { return this.#info }
+
+  /** @returns whether the target has answered a look under this dispatcher's token */
+  get isSeen (): boolean { return this.#seen }
+
+  get isSilent (): boolean { return this.#silent }
+
+  /** @returns room that no run occupies */
+  get free (): Demand {
+    const { capacity } = this.#info
+    return {
+      processors: capacity.processors - this.#used.processors,
+      memoryMb: capacity.memoryMb - this.#used.memoryMb,
+      accelerators: capacity.accelerators - this.#used.accelerators
+    }
+  }
+
+  /** Takes over a newer list entry of the same target. */
+  updateInfo (info: TargetInfo): void {
+    this.#info = info
+  }
+
+  /** Begins to look at the target. */
+  start (): void {
+    this.#runLookLoop().catch((error: unknown) => { this.#observer.onFault(error) })
+  }
+
+  /** Ends all orders; runs at the target go on until their leases lapse. */
+  close (): void {
+    this.#closed = true
+    this.#cancelRetry?.()
+    this.#connection.close()
+  }
+
+  /** Decides whether new runs may start here, apart from the room that they need. */
+  isUsable (now: number): boolean {
+    return this.#seen && !this.#silent && !this.#closed && !this.#info.draining &&
+      this.#unknownRuns === 0 && this.#unanswered === 0 && this.health.isStartAllowed(now, this.runs.size)
+  }
+
+  /** Sends the order to start a run; the observer hears what became of it. */
+  startRun (task: string, attempt: number, payload: string, demand: Demand): Run {
+    const now = this.#clock.now()
+    const deadline = (this.#targetClock.estimateLower(now) ?? 0) + startWindowMs
+    const run: Run = { task, attempt, demand, state: 'starting', sentAt: now, acceptedAt: undefined, stopAcceptedAt: undefined, deadline, unanswered: false, percent: 0, progressAt: now, stopSentAt: -Infinity }
+    this.runs.set(formatRunKey(task, attempt), run)
+    this.#occupy(demand, 1)
+    this.#targetClock.recordLease(deadline)
+    this.#sendStart(run, payload).catch((error: unknown) => { this.#observer.onFault(error) })
+    return run
+  }
+
+  /** Stops a run; its room is free when its end is listed. */
+  stopRun (run: Run): void {
+    if (run.state === 'stopping') return
+    run.state = 'stopping'
+    this.#sendStop(run).catch((error: unknown) => { this.#observer.onFault(error) })
+  }
+
+  /** Gives a found run the demand that its job states. */
+  adoptRun (run: Run, demand: Demand): void {
+    if (run.demand !== undefined) return
+    run.demand = demand
+    this.#unknownRuns--
+    this.#occupy(demand, 1)
+  }
+
+  /** Looks at once, beside the look that may be waiting. */
+  lookNow (): void {
+    this.#look(0).catch((error: unknown) => { this.#observer.onFault(error) })
+  }
+
+  async #sendStart (run: Run, payload: string): Promise<void> {
+    const reply = await this.#connection.start({ task: run.task, attempt: run.attempt, payload, deadline: run.deadline, token: this.#token() }, orderTimeoutMs)
+    if (this.#closed || !this.#isCurrent(run)) return
+    const now = this.#clock.now()
+    switch (reply.kind) {
+      case 'accepted':
+        if (run.state === 'starting') run.state = 'running'
+        run.acceptedAt ??= now
+        run.progressAt = now
+        this.#observer.onAccepted(this, run, now - run.sentAt)
+        return
+      case 'no-answer':
+        // The order may still be carried out: a stop bars the run, or its deadline does.
+        run.unanswered = true
+        this.#unanswered++
+        this.stopRun(run)
+        return
+      case 'not-sent':
+        this.#remove(run)
+        this.#observer.onRejected(this, run, 'not-sent')
+        return
+      case 'rejected':
+        this.#remove(run)
+        if (reply.reason === 'superseded') this.#observer.onSuperseded(this)
+        else this.#observer.onRejected(this, run, reply.reason)
+        if (reply.reason === 'late' || reply.reason === 'room') this.lookNow()
+    }
+  }
+
+  async #sendStop (run: Run): Promise<void> {
+    run.stopSentAt = this.#clock.now()
+    const reply = await this.#connection.stop({ task: run.task, attempt: run.attempt, token: this.#token() }, orderTimeoutMs)
+    if (this.#closed || !this.#isCurrent(run)) return
+    if (reply.kind === 'accepted') {
+      run.stopAcceptedAt = this.#clock.now()
+      // The end interrupts a waiting look, but a run that was never there has no end.
+      if (run.unanswered) this.lookNow()
+    } else if (reply.kind === 'rejected' && reply.reason === 'superseded') {
+      this.#observer.onSuperseded(this)
+    }
+  }
+
+  async #runLookLoop (): Promise<void> {
+    while (!this.#closed) {
+      const waitMs = this.#seen && !this.#silent ? Math.floor(this.#limits.maxLeaseMs * lookWaitShare) : 0
+      const answered = await this.#look(waitMs)
+      if (answered || this.#closed) continue
+      await this.#pause(this.#retryMs)
+      this.#retryMs = Math.min(longestRetryMs, this.#retryMs * 2)
+    }
+  }
+
+  /** @returns whether the target answered with its lists */
+  async #look (waitMs: number): Promise<boolean> {
+    const sentAt = this.#clock.now()
+    // Looks at a silent target extend nothing: through a path that only works one way they would
+    // keep runs alive whose ends cannot be seen.
+    const leaseUntil = this.#silent ? undefined : this.#targetClock.planLease(sentAt, this.#limits.maxLeaseMs)
+    if (leaseUntil !== undefined) this.#targetClock.recordLease(leaseUntil)
+    const reply = await this.#connection.look({ token: this.#token(), lastSeen: this.#lastSeen, waitMs, ...(leaseUntil === undefined ? {} : { leaseUntil }) }, waitMs + lookTimeoutMs)
+    if (this.#closed) return false
+    return this.#handleLook(reply, sentAt)
+  }
+
+  #handleLook (reply: LookReply, sentAt: number): boolean {
+    const now = this.#clock.now()
+    if (reply.kind === 'view') {
+      this.#handleView(reply.view, sentAt, now)
+      return true
+    }
+    if (reply.kind === 'rejected' && reply.reason === 'superseded') {
+      this.#observer.onSuperseded(this)
+      return false
+    }
+    if (reply.kind === 'rejected' && reply.reason === 'other-incarnation') this.#forgetLife('restarted')
+    if (!this.#silent && this.#seen) {
+      this.#silent = true
+      this.#observer.onChanged(this, 'silent')
+    }
+    if (this.#targetClock.hasLapsed(now)) this.#loseAll('lapsed')
+    return false
+  }
+
+  #handleView (view: TargetView, sentAt: number, now: number): void {
+    if (view.bornMs !== undefined && this.#bornMs !== undefined && view.bornMs !== this.#bornMs) {
+      if (view.bornMs < this.#bornMs) return
+      this.#forgetLife('restarted')
+      this.#observer.onChanged(this, 'restarted')
+    }
+    this.#bornMs = view.bornMs ?? this.#bornMs
+    this.#targetClock.recordReply(view.clock, sentAt, now)
+    this.#retryMs = firstRetryMs
+    this.#takeEnds(view)
+    this.#takeRunning(view, now)
+    this.#takeMissing(view, sentAt, now)
+    const change = !this.#seen ? 'seen' : this.#silent ? 'regained' : 'looked'
+    this.#seen = true
+    this.#silent = false
+    this.#observer.onChanged(this, change)
+  }
+
+  #takeEnds (view: TargetView): void {
+    for (const end of view.ended) {
+      if (end.number <= this.#lastSeen) continue
+      this.#lastSeen = end.number
+      const run = this.runs.get(formatRunKey(end.task, end.attempt))
+      if (run === undefined) {
+        this.#observer.onUnknownEnd(this, end.task, end.how)
+        continue
+      }
+      this.#remove(run)
+      this.#observer.onEnded(this, run, end.how)
+    }
+  }
+
+  #takeRunning (view: TargetView, now: number): void {
+    for (const entry of view.running) {
+      const run = this.runs.get(formatRunKey(entry.task, entry.attempt))
+      if (run === undefined) {
+        this.#addFound(entry.task, entry.attempt, entry.percent, now)
+        continue
+      }
+      if (run.state === 'starting') run.state = 'running'
+      run.acceptedAt ??= now
+      if (entry.percent > run.percent) {
+        run.percent = entry.percent
+        run.progressAt = now
+      }
+    }
+  }
+
+  #addFound (task: string, attempt: number, percent: number, now: number): void {
+    const run: Run = { task, attempt, demand: undefined, state: 'running', sentAt: now, acceptedAt: now, stopAcceptedAt: undefined, deadline: 0, unanswered: false, percent, progressAt: now, stopSentAt: -Infinity }
+    this.runs.set(formatRunKey(task, attempt), run)
+    this.#unknownRuns++
+    this.#observer.onFound(this, run)
+  }
+
+  /** Concludes from a view that runs are not at the target, when the view surely covers them. */
+  #takeMissing (view: TargetView, sentAt: number, now: number): void {
+    if (this.runs.size === 0) return
+    const listed = new Set(view.running.map(entry => formatRunKey(entry.task, entry.attempt)))
+    for (const [key, run] of [...this.runs]) {
+      if (listed.has(key)) {
+        if (run.state === 'stopping' && run.stopAcceptedAt === undefined && now - run.stopSentAt > stopRetryMs) this.#sendStop(run).catch((error: unknown) => { this.#observer.onFault(error) })
+        continue
+      }
+      const reason = judgeMissing(run, view.clock, sentAt)
+      if (reason === undefined) continue
+      this.#remove(run)
+      this.#observer.onLost(this, run, reason)
+    }
+  }
+
+  #forgetLife (reason: LossReason): void {
+    this.#lastSeen = 0
+    this.#bornMs = undefined
+    this.#seen = false
+    this.#targetClock.reset()
+    for (const run of this.runs.values()) {
+      // The order may still reach the new life, whose clock says nothing about the old deadline.
+      if (run.unanswered) this.#connection.stop({ task: run.task, attempt: run.attempt, token: this.#token() }, orderTimeoutMs).catch((error: unknown) => { this.#observer.onFault(error) })
+    }
+    this.#loseAll(reason)
+  }
+
+  #loseAll (reason: LossReason): void {
+    for (const run of [...this.runs.values()]) {
+      this.#remove(run)
+      this.#observer.onLost(this, run, reason)
+    }
+  }
+
+  #remove (run: Run): void {
+    if (!this.runs.delete(formatRunKey(run.task, run.attempt))) return
+    if (run.unanswered) this.#unanswered--
+    if (run.demand === undefined) this.#unknownRuns--
+    else this.#occupy(run.demand, -1)
+  }
+
+  #isCurrent (run: Run): boolean {
+    return this.runs.get(formatRunKey(run.task, run.attempt)) === run
+  }
+
+  #occupy (demand: Demand, sign: 1 | -1): void {
+    this.#used.processors += sign * demand.processors
+    this.#used.memoryMb += sign * demand.memoryMb
+    this.#used.accelerators += sign * demand.accelerators
+  }
+
+  async #pause (ms: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const cancel = this.#clock.startTimer(ms, resolve)
+      this.#cancelRetry = () => { cancel(); resolve() }
+    })
+  }
+}
+
+/**
+ * Decides whether a run that a view doesn't list is surely not at the target.
+ *
+ * @param viewClock - the target's clock when it replied
+ * @param sentAt - local time at which the look was sent
+ * @returns undefined when the view may be older than the run
+ */
+export function judgeMissing (run: Run, viewClock: number, sentAt: number): LossReason | undefined {
+  if (run.acceptedAt !== undefined && run.acceptedAt <= sentAt) return 'not-listed'
+  if (run.stopAcceptedAt !== undefined && run.stopAcceptedAt <= sentAt) return 'never-started'
+  if (run.acceptedAt === undefined && viewClock > run.deadline && run.sentAt < sentAt) return 'never-started'
+  return undefined
+}
