Let a domain's own dispatcher return before others claim it; settle only on a complete list

Change: a foreign claim waits until the own dispatcher had time to return; a claim counts the vacancy from the last change of the row; unlocated tasks wait for the longest lease unless the list is complete; a found run of a waiting task is adopted. The list of targets is read with a pause, which takes most of the store calls away.

--- a/packages/fleet/src/directory.ts
+++ b/packages/fleet/src/directory.ts
@@ -92,7 +92,7 @@
   constructor (store: MetadataStore, clock: Clock, log: EventLog) {
     super()
     this.#log = log
-    this.#watch = new TableWatch(store, directoryTable, relistMs, clock, log, this)
+    this.#watch = new TableWatch(store, directoryTable, { relistMs, pauseMs: 0 }, clock, log, this)
   }
 
   get isLoaded (): boolean { return this.#loaded }
--- a/packages/fleet/src/dispatch-keeper.ts
+++ b/packages/fleet/src/dispatch-keeper.ts
@@ -24,6 +24,12 @@
 /** Pause in milliseconds between two tries to write rows that the store did not take. */
 const writeRetryMs = 500
 
+/** Time in milliseconds that a domain's own dispatcher has to come back once its targets answer. */
+const foreignSettleMs = 700
+
+/** Additional wait in milliseconds of each further instance of another domain. */
+const foreignRankMs = 150
+
 /** A target of a domain answers, so an instance of another domain may dispatch there. */
 export abstract class DomainProbe {
   abstract canReach (domain: string): Promise<boolean>
@@ -50,6 +56,8 @@
   readonly #options: KeeperOptions
   readonly #links = new Map<string, DomainLink>()
   readonly #claiming = new Set<string>()
+  /** Since when each domain's row names its holder; a new holder has time to become reachable. */
+  readonly #rowsSince = new Map<string, { readonly revision: number, readonly at: number }>()
   #registeredAt = -Infinity
   #isRegistered = false
   #storeReachable = true
@@ -128,17 +136,18 @@
       this.#becomeDispatcher(domain, entry.revision * tokensPerRevision, 'claim-found')
       return
     }
+    const vacancyMs = this.#measureVacancy(domain)
     const successor = entry?.successors.findIndex(other => other.incarnation === self.incarnation) ?? -1
     const candidacy = decideCandidacy({
       self,
       domain,
       members: directory.listInstances(domain),
-      lostMs: link.measureLostMs(),
+      lostMs: vacancyMs,
       successorRank: successor < 0 ? undefined : successor,
       storeReachable: this.#storeReachable,
       lostHolder: link.isHolderGone ? entry?.instance : undefined
     })
-    if (candidacy === 'claim') this.#beginClaim(domain, `lost for ${Math.round(link.measureLostMs())} ms`)
+    if (candidacy === 'claim') this.#beginClaim(domain, `lost for ${Math.round(vacancyMs)} ms`)
     else if (candidacy === 'take-over-without-store') this.#becomeDispatcher(domain, entry!.revision * tokensPerRevision + successor + 1, 'without-store')
   }
 
@@ -151,8 +160,8 @@
   }
 
   async #claim (domain: string, reason: string): Promise<void> {
-    const { self, store, directory, probe } = this.#options
-    if (self.domain !== domain && !await probe.canReach(domain)) return
+    const { self, store, directory } = this.#options
+    if (self.domain !== domain && !await this.#isDomainForsaken(domain)) return
     const before = directory.findDispatcher(domain)
     const current = await this.#readRow(domain)
     if (current === 'unavailable') return
@@ -173,6 +182,29 @@
     }
   }
 
+  /**
+   * Decides whether an instance of another domain should dispatch here: targets answer, and even
+   * so the dispatcher does not come back within some time. After a cut both return together.
+   */
+  async #isDomainForsaken (domain: string): Promise<boolean> {
+    const { self, directory, probe, clock } = this.#options
+    if (!await probe.canReach(domain)) return false
+    const others = rankInstances(directory.listInstances().filter(entry => entry.domain !== domain))
+    const rank = Math.max(0, others.findIndex(entry => entry.instance === self.instance))
+    await new Promise<void>(resolve => { clock.startTimer(foreignSettleMs + rank * foreignRankMs, resolve) })
+    return !this.#links.get(domain)!.isConnected && this.#measureVacancy(domain) >= foreignSettleMs
+  }
+
+  /** @returns milliseconds for which the domain's named dispatcher could not be reached */
+  #measureVacancy (domain: string): number {
+    const revision = this.#options.directory.findDispatcher(domain)?.revision ?? 0
+    const now = this.#options.clock.now()
+    const known = this.#rowsSince.get(domain)
+    if (known?.revision !== revision) this.#rowsSince.set(domain, { revision, at: known === undefined ? -Infinity : now })
+    const lostMs = this.#links.get(domain)?.measureLostMs() ?? 0
+    return Math.min(lostMs, now - this.#rowsSince.get(domain)!.at)
+  }
+
   async #readRow (domain: string): Promise<DispatcherEntry | undefined | 'unavailable'> {
     const reply = await this.#options.store.read(directoryTable, formatDispatcherKey(domain))
     this.#storeReachable = reply.kind === 'rows'
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -45,6 +45,8 @@
   readonly log: EventLog
   readonly metrics: FleetMetrics
   readonly remoteFactor: number
+  /** Whether the list of targets surely names every target that an earlier dispatcher may have used. */
+  readonly isListComplete: () => boolean
   /** Called once when a target or the store shows a later dispatcher of the domain. */
   readonly onSuperseded: () => void
 }
@@ -367,12 +369,15 @@
     this.#flushReports()
   }
 
-  /** After a takeover, unlocated tasks wait until every target was looked at or all earlier leases have lapsed. */
+  /**
+   * After a takeover, unlocated tasks wait until every target was looked at or all earlier leases
+   * have lapsed. Entries of cut-off targets lapse, so a look at all listed ones may not be enough.
+   */
   #checkSettled (): void {
     if (this.#settled) return
     const now = this.#options.clock.now()
     const longestMs = this.#options.limits.maxLeaseMs * 1.02 + 150
-    const allSeen = this.#sessions.size > 0 && [...this.#sessions.values()].every(session => session.isSeen)
+    const allSeen = this.#options.isListComplete() && this.#sessions.size > 0 && [...this.#sessions.values()].every(session => session.isSeen)
     if (!allSeen && now - this.#since < longestMs) return
     this.#settled = true
     for (const job of this.#jobs.values()) this.#releaseUnlocated(job)
@@ -486,7 +491,7 @@
   override onFound (session: TargetSession, run: Run): void {
     const active = this.#runOf.get(run.task)
     const { job, task } = this.#findTask(run.task)
-    if (active !== undefined || task?.state === 'done' || task?.state === 'waiting') {
+    if (active !== undefined || task?.state === 'done') {
       session.stopRun(run)
       return
     }
--- a/packages/fleet/src/table-watch.ts
+++ b/packages/fleet/src/table-watch.ts
@@ -10,6 +10,13 @@
 const firstPauseMs = 100
 const longestPauseMs = 800
 
+export interface WatchTimes {
+  /** Pause in milliseconds between two lists. */
+  readonly relistMs: number
+  /** Pause in milliseconds after each watch call, so that many changes come in one reply. */
+  readonly pauseMs: number
+}
+
 /** Receives the rows of a table; each call holds all rows that are known. */
 export abstract class TableObserver {
   abstract onRows (rows: ReadonlyMap<string, StoreRow>, revision: number): void
@@ -22,7 +29,7 @@
 export class TableWatch {
   readonly #store: MetadataStore
   readonly #table: string
-  readonly #relistMs: number
+  readonly #times: WatchTimes
   readonly #clock: Clock
   readonly #log: EventLog
   readonly #observer: TableObserver
@@ -35,10 +42,10 @@
   #closed = false
   #cancelPause: (() => void) | undefined
 
-  constructor (store: MetadataStore, table: string, relistMs: number, clock: Clock, log: EventLog, observer: TableObserver) {
+  constructor (store: MetadataStore, table: string, times: WatchTimes, clock: Clock, log: EventLog, observer: TableObserver) {
     this.#store = store
     this.#table = table
-    this.#relistMs = relistMs
+    this.#times = times
     this.#clock = clock
     this.#log = log
     this.#observer = observer
@@ -61,10 +68,10 @@
   async #run (): Promise<void> {
     while (!this.#closed) {
       const sentAt = this.#clock.now()
-      const isListDue = this.#revision === undefined || sentAt - this.#listedAt >= this.#relistMs
+      const isListDue = this.#revision === undefined || sentAt - this.#listedAt >= this.#times.relistMs
       const failure = isListDue ? await this.#list(sentAt) : await this.#watch(this.#revision!, sentAt)
       if (this.#closed) return
-      if (failure === undefined) this.#handleSuccess()
+      if (failure === undefined) await this.#handleSuccess()
       else await this.#handleFailure(failure)
     }
   }
@@ -119,9 +126,12 @@
     return undefined
   }
 
-  #handleSuccess (): void {
+  async #handleSuccess (): Promise<void> {
     this.#backoff.reset()
-    if (this.#lostAt === undefined) return
+    if (this.#lostAt === undefined) {
+      if (this.#times.pauseMs > 0) await this.#pause(this.#times.pauseMs)
+      return
+    }
     this.#log.log('belief', 'store-regained', { table: this.#table, afterMs: Math.round(this.#clock.now() - this.#lostAt), revision: this.#revision ?? 0 })
     this.#lostAt = undefined
     // Changes that the outage hid are read at once.
@@ -133,7 +143,10 @@
       this.#lostAt = this.#clock.now()
       this.#log.log('belief', 'store-lost', { table: this.#table, message, revision: this.#revision ?? 0 })
     }
-    const pauseMs = this.#backoff.takePauseMs()
+    await this.#pause(this.#backoff.takePauseMs())
+  }
+
+  async #pause (pauseMs: number): Promise<void> {
     await new Promise<void>(resolve => {
       const cancel = this.#clock.startTimer(pauseMs, resolve)
       this.#cancelPause = () => { cancel(); resolve() }
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -5,6 +5,9 @@
 import { TableObserver, TableWatch } from './table-watch.js'
 import { type TargetInfo } from './target-types.js'
 
+/** Pause in milliseconds between two watch calls; targets write often, and none of it is urgent. */
+const watchPauseMs = 400
+
 /** Pause in milliseconds between two lists of the targets. */
 const relistMs = 5_000
 
@@ -14,6 +17,12 @@
  */
 const lapsedEntryMs = 2_000
 
+/** Time in milliseconds for which a target that vanished without notice may come back with its runs. */
+const vanishedMemoryMs = 30_000
+
+/** Time in milliseconds from the first list after which lapsed entries have surely come back. */
+const completeAfterMs = 3_000
+
 /** Decodes the platform's row of a target; undefined when the row names no target to use. */
 export type TargetDecoder = (row: StoreRow) => TargetInfo | undefined
 
@@ -26,6 +35,9 @@
   readonly #dispatchers = new Set<Dispatcher>()
   readonly #missingSince = new Map<string, number>()
   readonly #unreadable = new Set<string>()
+  /** When targets vanished without notice, by domain and id. */
+  readonly #vanishedAt = new Map<string, Map<string, number>>()
+  #firstListAt: number | undefined
   #watch: TableWatch | undefined
   #targets: ReadonlyMap<string, TargetInfo> = new Map()
   #cancelExpiry: (() => void) | undefined
@@ -35,7 +47,7 @@
     this.#decode = decode
     this.#clock = clock
     this.#log = log
-    this.#createWatch = () => new TableWatch(store, table, relistMs, clock, log, this)
+    this.#createWatch = () => new TableWatch(store, table, { relistMs, pauseMs: watchPauseMs }, clock, log, this)
   }
 
   /** @returns milliseconds since the list was known to be current; infinite before the first list */
@@ -58,6 +70,18 @@
     return [...this.#targets.values()].filter(target => target.domain === domain)
   }
 
+  /**
+   * Tells whether the list names every target of a domain that may hold runs.
+   *
+   * @returns false soon after the first list, and while targets that vanished without notice may come back
+   */
+  isComplete (domain: string): boolean {
+    const now = this.#clock.now()
+    if (this.#firstListAt === undefined || now - this.#firstListAt < completeAfterMs) return false
+    const vanished = this.#vanishedAt.get(domain)
+    return vanished === undefined || [...vanished.values()].every(at => now - at > vanishedMemoryMs)
+  }
+
   addDispatcher (dispatcher: Dispatcher): void {
     this.#dispatchers.add(dispatcher)
     dispatcher.updateTargets(this.listTargets(dispatcher.domain))
@@ -69,7 +93,9 @@
 
   override onRows (rows: ReadonlyMap<string, StoreRow>): void {
     const targets = new Map<string, TargetInfo>()
+    this.#firstListAt ??= this.#clock.now()
     for (const row of rows.values()) this.#addRow(row, targets)
+    this.#noteVanished(targets)
     this.#keepMissing(targets)
     this.#targets = targets
     this.#publish()
@@ -87,6 +113,19 @@
     this.#log.log('belief', 'target-row-unreadable', { target: row.key, revision: row.revision })
   }
 
+  #noteVanished (targets: ReadonlyMap<string, TargetInfo>): void {
+    const now = this.#clock.now()
+    for (const [id, target] of this.#targets) {
+      if (targets.has(id) || target.draining) continue
+      const vanished = this.#vanishedAt.get(target.domain) ?? new Map<string, number>()
+      this.#vanishedAt.set(target.domain, vanished)
+      if (!vanished.has(id)) vanished.set(id, now)
+    }
+    for (const vanished of this.#vanishedAt.values()) {
+      for (const [id, at] of vanished) if (targets.has(id) || now - at > vanishedMemoryMs) vanished.delete(id)
+    }
+  }
+
   /** Keeps targets whose entries have just gone, unless they had said that they leave. */
   #keepMissing (targets: Map<string, TargetInfo>): void {
     const now = this.#clock.now()
