--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -1,7 +1,7 @@
+import { LifeCycle } from '@sesamereel/coordination'
 import { type Settings } from '@sesamereel/protocol'
 import { addDispatcherGauges } from './dispatcher-gauges.js'
 import { heartbeatIntervalMs } from './heartbeat-exchange.js'
-import { LifeCycle } from './life-cycle.js'
 import { readPlacement } from './placement-choice.js'
 import { RepeatedTask } from './repeated-task.js'
 import { type Cradle, wireInstance } from './wiring.js'
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -216,7 +216,6 @@
         const found = this.#jobs.has(message.jobId)
         if (found) this.#dropJob(this.#jobs.get(message.jobId)!, 'cancelled by a caller')
         port.send({ type: 'cancelled-any', jobId: message.jobId, found })
-        return
       }
       case 'hello':
       case 'ping':
@@ -646,4 +645,3 @@
   get free (): TargetSession['free'] { return this.session.free }
   get slowness (): number { return this.session.health.slowness }
 }
-
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -163,7 +163,7 @@
       case 'rejected': this.#handleRejection(link, message.jobId, message.reason, message.retryAfterMs); return
       case 'withdrawn': this.#handleWithdrawn(link, message.jobId); return
       case 'cancelled-any': this.#cancellations.get(message.jobId)?.get(link.domain)?.(message.found); return
-      case 'hand-over': this.#handOver(link.domain, message.successor); return
+      case 'hand-over': this.#handOver(link.domain, message.successor)
       default:
     }
   }
