--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -209,20 +209,23 @@
 
   #handleMessage (port: OwnerPort, message: OwnerMessage): void {
     switch (message.type) {
-      case 'submit': this.#accept(port, message); return
-      case 'withdraw': this.#withdraw(port, message.jobId); return
-      case 'cancel': this.#cancel(port, message.jobId, message.reason); return
-      case 'cancel-any': {
-        const found = this.#jobs.has(message.jobId)
-        if (found) this.#dropJob(this.#jobs.get(message.jobId)!, 'cancelled by a caller')
-        port.send({ type: 'cancelled-any', jobId: message.jobId, found })
-      }
+      case 'submit': this.#accept(port, message); break
+      case 'withdraw': this.#withdraw(port, message.jobId); break
+      case 'cancel': this.#cancel(port, message.jobId, message.reason); break
+      case 'cancel-any': this.#cancelAny(port, message.jobId); break
+      // The server of the owners handles these.
       case 'hello':
       case 'ping':
       case 'configuration':
     }
   }
 
+  #cancelAny (port: OwnerPort, jobId: string): void {
+    const job = this.#jobs.get(jobId)
+    if (job !== undefined) this.#dropJob(job, 'cancelled by a caller')
+    port.send({ type: 'cancelled-any', jobId, found: job !== undefined })
+  }
+
   #accept (port: OwnerPort, submission: Submission): void {
     const now = this.#options.clock.now()
     const { job: spec } = submission
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -3,7 +3,7 @@
 import { type DomainLink, LinkObserver } from './domain-link.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
-import { type JobSpec, type RejectionReason } from './job-types.js'
+import { type JobOutcome, type JobSpec, type RejectionReason } from './job-types.js'
 import { type FleetLimits } from './limits.js'
 import { type DispatcherMessage, type LoadDigest } from './messages.js'
 import { type JobAnswer, OwnedJob } from './owned-job.js'
@@ -142,32 +142,35 @@
 
   override onDispatcherMessage (link: DomainLink, message: DispatcherMessage): void {
     switch (message.type) {
-      case 'started':
-        for (const jobId of message.jobIds) {
-          const job = this.#find(jobId, link)
-          if (job !== undefined) job.mayHaveStarted = true
-        }
-        return
-      case 'progress': {
-        const job = this.#find(message.jobId, link)
-        for (const position of message.done) job?.done.add(position)
-        return
-      }
-      case 'ended': {
-        const job = this.#find(message.jobId, link)
-        if (job === undefined) return
-        const { outcome } = message
-        this.#answer(job, outcome.kind === 'completed' ? outcome : { kind: 'failed', reason: outcome.reason })
-        return
-      }
-      case 'rejected': this.#handleRejection(link, message.jobId, message.reason, message.retryAfterMs); return
-      case 'withdrawn': this.#handleWithdrawn(link, message.jobId); return
-      case 'cancelled-any': this.#cancellations.get(message.jobId)?.get(link.domain)?.(message.found); return
-      case 'hand-over': this.#handOver(link.domain, message.successor)
+      case 'started': this.#handleStarted(link, message.jobIds); break
+      case 'progress': this.#handleProgress(link, message.jobId, message.done); break
+      case 'ended': this.#handleEnded(link, message.jobId, message.outcome); break
+      case 'rejected': this.#handleRejection(link, message.jobId, message.reason, message.retryAfterMs); break
+      case 'withdrawn': this.#handleWithdrawn(link, message.jobId); break
+      case 'cancelled-any': this.#cancellations.get(message.jobId)?.get(link.domain)?.(message.found); break
+      case 'hand-over': this.#handOver(link.domain, message.successor); break
       default:
     }
   }
 
+  #handleStarted (link: DomainLink, jobIds: readonly string[]): void {
+    for (const jobId of jobIds) {
+      const job = this.#find(jobId, link)
+      if (job !== undefined) job.mayHaveStarted = true
+    }
+  }
+
+  #handleProgress (link: DomainLink, jobId: string, done: readonly number[]): void {
+    const job = this.#find(jobId, link)
+    for (const position of done) job?.done.add(position)
+  }
+
+  #handleEnded (link: DomainLink, jobId: string, outcome: JobOutcome): void {
+    const job = this.#find(jobId, link)
+    if (job === undefined) return
+    this.#answer(job, outcome.kind === 'completed' ? outcome : { kind: 'failed', reason: outcome.reason })
+  }
+
   /** @returns the job if it is at the link's dispatcher */
   #find (jobId: string, link: DomainLink): OwnedJob | undefined {
     const job = this.#jobs.get(jobId)
