--- /dev/null
+++ b/packages/fleet/src/job-intake.ts
@@ -0,0 +1,157 @@
+import { decideAdmission } from './admission.js'
+import { type DispatchState } from './dispatch-state.js'
+import { JobRun } from './job-run.js'
+import { type RejectionReason } from './job-types.js'
+import { estimateLoad, estimateRate, sumWaitingWork, summarizeLoad } from './load-meter.js'
+import { type Submission } from './messages.js'
+import { type OwnerPort } from './owner-table.js'
+import { isEligible } from './placement.js'
+import { judgeUrgency } from './queue-order.js'
+
+/** Retry time in milliseconds for a job that no target can hold now. */
+const unfitRetryMs = 1_000
+
+/** Shortest retry time in milliseconds that a caller is told. */
+const shortestRetryMs = 100
+
+/** Takes in, rejects and gives back the jobs of one dispatcher. */
+export class JobIntake {
+  readonly #state: DispatchState
+  #closed = false
+
+  constructor (state: DispatchState) {
+    this.#state = state
+  }
+
+  /** Rejects every new job from now on. */
+  close (): void {
+    this.#closed = true
+  }
+
+  /**
+   * Takes in a job, or attaches its owner to the job of this id.
+   *
+   * @param isSettled - whether tasks without a known run have surely none
+   */
+  accept (port: OwnerPort, submission: Submission, isSettled: boolean): void {
+    const state = this.#state
+    const known = state.jobs.get(submission.job.id)
+    if (known !== undefined) {
+      this.#attachOwner(port, known)
+      return
+    }
+    const outcome = submission.resubmitted ? state.findOutcome(submission.job.id) : undefined
+    if (outcome !== undefined) {
+      port.send({ type: 'ended', jobId: submission.job.id, outcome })
+      return
+    }
+    const job = new JobRun(submission, port.ownerId, state.now())
+    if (this.#locateRuns(job)) job.started = true
+    if (!job.started && this.#decideRejection(port, job)) return
+    this.#addJob(port, job, isSettled)
+  }
+
+  /** Gives a job back to its owner if nothing of it has started. */
+  withdraw (port: OwnerPort, jobId: string): void {
+    const job = this.#state.jobs.get(jobId)
+    if (job === undefined || job.started || job.ownerId !== port.ownerId) return
+    this.#state.removeJob(job)
+    port.send({ type: 'withdrawn', jobId })
+  }
+
+  /** Drops a job whose owner no longer wants it. */
+  cancel (port: OwnerPort, jobId: string, reason: string): void {
+    const job = this.#state.jobs.get(jobId)
+    if (job?.ownerId === port.ownerId) this.#state.dropJob(job, reason)
+  }
+
+  /** Drops a job whoever owns it, and tells whether it was known. */
+  cancelAny (port: OwnerPort, jobId: string): void {
+    const job = this.#state.jobs.get(jobId)
+    if (job !== undefined) this.#state.dropJob(job, 'cancelled by a caller')
+    port.send({ type: 'cancelled-any', jobId, found: job !== undefined })
+  }
+
+  /** Rejects queued jobs that can't be of use any more and have not started. */
+  rejectHopeless (now: number): void {
+    const { queue, owners, sessions } = this.#state
+    for (const job of [...queue]) {
+      if (job.started || judgeUrgency(job, now) !== 'useless') continue
+      this.#state.removeJob(job)
+      const { waitMs } = summarizeLoad(sessions.values(), [...queue], now)
+      const retryAfterMs = Math.max(shortestRetryMs, waitMs)
+      owners.send(job.ownerId, { type: 'rejected', jobId: job.id, reason: 'overloaded', retryAfterMs })
+      this.#state.log('job', 'job-rejected', { job: job.id, reason: 'waited-too-long', retryAfterMs, waitedMs: Math.round(now - job.acceptedAt), queued: queue.size })
+    }
+  }
+
+  #addJob (port: OwnerPort, job: JobRun, isSettled: boolean): void {
+    const state = this.#state
+    state.jobs.set(job.id, job)
+    state.owners.follow(port.ownerId)
+    if (job.isComplete) state.endJob(job, { kind: 'completed' })
+    else if (isSettled) state.releaseUnlocated(job)
+    else if (job.hasWaiting()) state.queue.add(job)
+  }
+
+  #attachOwner (port: OwnerPort, job: JobRun): void {
+    this.#state.log('job', 'job-attached', { job: job.id, owner: port.ownerId, previous: job.ownerId })
+    job.ownerId = port.ownerId
+    this.#state.owners.follow(port.ownerId)
+    if (job.started) port.send({ type: 'started', jobIds: [job.id] })
+    const done = job.listDone()
+    if (done.length > 0) port.send({ type: 'progress', jobId: job.id, done })
+  }
+
+  /** @returns whether runs of the job are or were at targets already */
+  #locateRuns (job: JobRun): boolean {
+    const { found, runs } = this.#state
+    let isLocated = false
+    for (const task of job.tasks) {
+      if (task.state === 'done') continue
+      const active = runs.get(task.name)
+      if (found.takeDone(task.name)) {
+        job.markDone(task)
+      } else if (active !== undefined) {
+        task.state = 'running'
+        active.session.adoptRun(active.run, job.getStep(task).demand)
+        found.forget(task.name)
+      } else {
+        continue
+      }
+      isLocated = true
+    }
+    return isLocated
+  }
+
+  /** @returns whether the job was rejected */
+  #decideRejection (port: OwnerPort, job: JobRun): boolean {
+    if (this.#closed) return this.#reject(port, job, 'stopping', shortestRetryMs, {})
+    const { sessions, queue } = this.#state
+    const unfit = this.#findUnfit(job)
+    if (unfit !== undefined) return this.#reject(port, job, unfit, unfitRetryMs, { targets: sessions.size })
+    const now = this.#state.now()
+    const rate = estimateRate(sessions.values(), job.spec.service)
+    const load = estimateLoad(queue, rate, job.spec.service, job.objectiveAt)
+    // With work ahead of it a job's own tasks start one after the other as room becomes free.
+    const ownMs = load.workAheadMs > 0 && rate > 0 ? sumWaitingWork(job) / rate : 0
+    const decision = decideAdmission(load, job.remainingMs + ownMs, job.usefulAt - now)
+    const inputs = { predictedMs: Math.round(decision.predictedMs), usefulMs: Math.round(job.usefulAt - now), queued: queue.size, rate: Math.round(rate) }
+    if (decision.kind === 'reject') return this.#reject(port, job, 'overloaded', decision.retryAfterMs, inputs)
+    this.#state.log('job', 'job-admitted', { job: job.id, ...inputs })
+    return false
+  }
+
+  #findUnfit (job: JobRun): RejectionReason | undefined {
+    const targets = [...this.#state.sessions.values()].map(session => session.info).filter(info => info.service === job.spec.service)
+    if (targets.length === 0) return 'no-target'
+    const isFit = job.spec.steps.every(step => targets.some(info => isEligible(info, job.spec.service, step)))
+    return isFit ? undefined : 'fits-no-target'
+  }
+
+  #reject (port: OwnerPort, job: JobRun, reason: RejectionReason, retryAfterMs: number, inputs: Readonly<Record<string, number>>): true {
+    port.send({ type: 'rejected', jobId: job.id, reason, retryAfterMs })
+    this.#state.log('job', 'job-rejected', { job: job.id, reason, retryAfterMs, ...inputs })
+    return true
+  }
+}
--- a/packages/fleet/src/job-run.ts
+++ b/packages/fleet/src/job-run.ts
@@ -16,6 +16,8 @@
   readonly position: number
   state: TaskState
   failures: number
+  /** Start orders of this dispatcher. */
+  starts: number
 }
 
 /** A job at its dispatcher. */
@@ -30,6 +32,8 @@
   /** Whether a start order was sent for the job, here or by an earlier dispatcher. */
   started: boolean
   readonly #undone: number[]
+  /** Position of the first task of each step. */
+  readonly #offsets: readonly number[]
   #left: number
 
   constructor (submission: Submission, ownerId: string, now: number) {
@@ -42,6 +46,7 @@
     this.usefulAt = this.acceptedAt + job.usefulMs
     this.started = submission.resubmitted
     this.tasks = createTasks(job, submission)
+    this.#offsets = job.steps.map((_, index) => job.steps.slice(0, index).reduce((sum, step) => sum + step.count, 0))
     this.#undone = job.steps.map((step, index) => this.tasks.filter(task => task.step === index && task.state !== 'done').length)
     this.#left = this.#undone.reduce((sum, count) => sum + count, 0)
   }
@@ -59,7 +64,8 @@
   }
 
   findTask (step: number, index: number): TaskRecord | undefined {
-    return this.tasks.find(task => task.step === step && task.name === formatTaskName(this.id, step, index))
+    const spec = this.spec.steps[step]
+    return spec === undefined || index >= spec.count ? undefined : this.tasks[this.#offsets[step]! + index]
   }
 
   getStep (task: TaskRecord): StepSpec {
@@ -94,7 +100,7 @@
     for (let index = 0; index < step.count; index++) {
       const position = tasks.length
       const state = done.has(position) ? 'done' : submission.resubmitted ? 'unlocated' : 'waiting'
-      tasks.push({ name: formatTaskName(job.id, stepIndex, index), step: stepIndex, position, state, failures: 0 })
+      tasks.push({ name: formatTaskName(job.id, stepIndex, index), step: stepIndex, position, state, failures: 0, starts: 0 })
     }
   })
   return tasks
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -1,8 +1,9 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type ConfigurationRelay } from './configuration-relay.js'
-import { type Dispatcher, OwnerPort } from './dispatcher.js'
+import { type Dispatcher } from './dispatcher.js'
 import { LocalDispatchers } from './domain-link.js'
 import { type DispatcherMessage, type OwnerMessage } from './messages.js'
+import { OwnerPort } from './owner-table.js'
 import { type PeerHandler, type PeerStream } from './peer-streams.js'
 
 /** Silence in milliseconds after which an owner counts as lost; a few heartbeats. */
--- a/packages/fleet/src/owner-table.ts
+++ b/packages/fleet/src/owner-table.ts
@@ -1,9 +1,15 @@
-import { type OwnerPort } from './dispatcher.js'
 import { type DispatcherMessage } from './messages.js'
 
 /** Time in milliseconds that a lost owner has to connect again before its jobs are dropped. */
 const ownerGraceMs = 400
 
+/** Sends messages to one owner. */
+export abstract class OwnerPort {
+  /** Incarnation of the owner's instance. */
+  abstract readonly ownerId: string
+  abstract send (message: DispatcherMessage): void
+}
+
 /** The owners of jobs at one dispatcher. */
 export class OwnerTable {
   readonly #ports = new Map<string, OwnerPort>()
--- /dev/null
+++ b/packages/fleet/src/run-tracker.ts
@@ -0,0 +1,149 @@
+import { type DispatchState } from './dispatch-state.js'
+import { type JobRun, type TaskRecord } from './job-run.js'
+import { parseTaskName } from './job-types.js'
+import { type Run } from './run.js'
+import { type LossReason, SessionObserver, type TargetChange, type TargetSession } from './target-session.js'
+import { type EndKind, type StartRejection } from './target-types.js'
+
+/** Time in milliseconds without progress, over several looks, after which a run counts as stalled. */
+const stallMs = 400
+
+/** Part of a run's estimate that it may stay at one percentage. */
+const stallShare = 0.06
+
+/** Ratio of run time to estimate at which a run's target counts as slow while the run goes on. */
+const slowRatio = 2.5
+
+/** Smallest progress in percent from which the speed of a run can be told. */
+const telltalePercent = 10
+
+/** What the tracker tells the dispatcher. */
+export interface TrackerEvents {
+  /** Work may be possible that was not before. */
+  readonly onChange: () => void
+  readonly onSuperseded: (session: TargetSession) => void
+}
+
+/** Follows the runs of one dispatcher to their ends, and judges targets by them. */
+export class RunTracker extends SessionObserver {
+  readonly #state: DispatchState
+  readonly #events: TrackerEvents
+
+  constructor (state: DispatchState, events: TrackerEvents) {
+    super()
+    this.#state = state
+    this.#events = events
+  }
+
+  override onAccepted (session: TargetSession, run: Run, tookMs: number): void {
+    this.#state.metrics.observeStart('accepted', tookMs)
+  }
+
+  override onRejected (session: TargetSession, run: Run, reason: StartRejection | 'not-sent'): void {
+    const now = this.#state.now()
+    this.#state.metrics.observeStart(reason, now - run.sentAt)
+    this.#state.log('order', 'start-rejected', { task: run.task, attempt: run.attempt, target: session.info.id, reason })
+    if (reason === 'unhealthy' || reason === 'not-sent') session.health.suspend(now)
+    this.#state.requeue(run.task)
+    this.#events.onChange()
+  }
+
+  override onEnded (session: TargetSession, run: Run, how: EndKind): void {
+    this.#state.metrics.countEnd(how)
+    this.#judgeEnd(session, run, how)
+    if (how !== 'done') this.#state.log('order', 'run-ended', { task: run.task, attempt: run.attempt, target: session.info.id, how, tookMs: Math.round(this.#state.now() - run.sentAt) })
+    this.#endTask(run.task, how)
+  }
+
+  override onLost (session: TargetSession, run: Run, reason: LossReason): void {
+    this.#state.metrics.countEnd(reason)
+    this.#state.log('order', 'run-lost', { task: run.task, attempt: run.attempt, target: session.info.id, reason, sentMsAgo: Math.round(this.#state.now() - run.sentAt) })
+    this.#state.requeue(run.task)
+    this.#events.onChange()
+  }
+
+  override onFound (session: TargetSession, run: Run): void {
+    const { job, task } = this.#state.findTask(run.task)
+    if (this.#state.runs.has(run.task) || task?.state === 'done') {
+      session.stopRun(run)
+      return
+    }
+    this.#state.runs.set(run.task, { session, run })
+    if (job === undefined || task === undefined) {
+      this.#state.found.add(run.task)
+      return
+    }
+    task.state = 'running'
+    session.adoptRun(run, job.getStep(task).demand)
+    this.#state.log('order', 'run-adopted', { job: job.id, task: run.task, attempt: run.attempt, target: session.info.id })
+  }
+
+  override onUnknownEnd (session: TargetSession, name: string, how: EndKind): void {
+    if (how !== 'done' || this.#state.runs.has(name)) return
+    const { job, task } = this.#state.findTask(name)
+    if (job === undefined || task === undefined) this.#state.found.addDone(name)
+    else if (task.state === 'unlocated') this.#endTask(name, how)
+  }
+
+  override onSuperseded (session: TargetSession): void {
+    this.#events.onSuperseded(session)
+  }
+
+  override onChanged (session: TargetSession, change: TargetChange): void {
+    if (change !== 'looked') this.#state.log('belief', `target-${change}`, { target: session.info.id, domain: session.info.domain, runs: session.runs.size })
+    this.#judgeRuns(session)
+    this.#events.onChange()
+  }
+
+  override onFault (error: unknown): void {
+    this.#state.logError('target-session', error)
+  }
+
+  #judgeEnd (session: TargetSession, run: Run, how: EndKind): void {
+    const now = this.#state.now()
+    if (how === 'failed') session.health.recordFailure(now, parseTaskName(run.task)?.jobId ?? run.task)
+    const { job, task } = this.#state.findTask(run.task)
+    if (how !== 'done' || job === undefined || task === undefined) return
+    const { estimateMs } = job.getStep(task)
+    session.health.recordSuccess(estimateMs > 0 ? (now - run.sentAt) / estimateMs : 1)
+  }
+
+  #endTask (name: string, how: EndKind): void {
+    this.#state.forgetRun(name)
+    this.#events.onChange()
+    const { job, task } = this.#state.findTask(name)
+    if (job === undefined || task === undefined || task.state === 'done') return
+    if (how === 'done') this.#state.finishTask(job, task)
+    else this.#retryTask(job, task, how)
+  }
+
+  #retryTask (job: JobRun, task: TaskRecord, how: EndKind): void {
+    if (how === 'failed') task.failures++
+    if (task.failures >= job.spec.maxAttempts) {
+      this.#state.endJob(job, { kind: 'failed', reason: 'attempts-used' })
+      return
+    }
+    task.state = 'waiting'
+    this.#state.queue.add(job)
+  }
+
+  /** Stops runs that stand still and learns from slow ones; called with every fresh view. */
+  #judgeRuns (session: TargetSession): void {
+    const now = this.#state.now()
+    for (const run of [...session.runs.values()]) {
+      if (run.state !== 'running' || run.acceptedAt === undefined) continue
+      const { job, task } = this.#state.findTask(run.task)
+      if (job === undefined || task === undefined) continue
+      const { estimateMs } = job.getStep(task)
+      const standingMs = now - run.progressAt
+      if (standingMs > Math.max(stallMs, estimateMs * stallShare)) {
+        session.health.suspend(now)
+        this.#state.log('order', 'run-stalled', { task: run.task, attempt: run.attempt, target: session.info.id, percent: run.percent, standingMs: Math.round(standingMs) })
+        session.stopRun(run)
+      } else if (run.percent >= telltalePercent) {
+        const ratio = (now - run.acceptedAt) / (estimateMs * run.percent / 100)
+        if (ratio > slowRatio) session.health.recordSlowRun(ratio)
+      }
+    }
+  }
+}
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -28,6 +28,9 @@
 /** Why a run is gone without an end in the target's list. */
 export type LossReason = 'lapsed' | 'restarted' | 'never-started' | 'not-listed'
 
+/** `looked`: a fresh view came, and room may have changed. */
+export type TargetChange = 'seen' | 'silent' | 'regained' | 'restarted' | 'looked'
+
 /** What a session tells its dispatcher; a dispatcher handles it at once and starts nothing from inside. */
 export abstract class SessionObserver {
   abstract onAccepted (session: TargetSession, run: Run, tookMs: number): void
@@ -43,7 +46,7 @@
   /** An error that the session did not expect. */
   abstract onFault (error: unknown): void
   /** The target was seen, lost or regained; room may have changed. */
-  abstract onChanged (session: TargetSession, what: 'seen' | 'silent' | 'regained' | 'restarted' | 'looked'): void
+  abstract onChanged (session: TargetSession, change: TargetChange): void
 }
 
 /**
--- /dev/null
+++ b/packages/fleet/src/task-scheduler.ts
@@ -0,0 +1,88 @@
+import { type DispatchState } from './dispatch-state.js'
+import { type JobRun, type TaskRecord } from './job-run.js'
+import { parseTaskName } from './job-types.js'
+import { type Candidate, pickTarget } from './placement.js'
+import { sortQueue } from './queue-order.js'
+import { type TargetSession } from './target-session.js'
+import { type TargetInfo } from './target-types.js'
+
+/** Attempts of one task that one token may number; numbers of later tokens are higher. */
+const attemptsPerToken = 64
+
+/** Starts waiting tasks where they fit. */
+export class TaskScheduler {
+  readonly #state: DispatchState
+  readonly #token: () => number
+  readonly #remoteFactor: number
+
+  /**
+   * @param token - returns the token in force
+   * @param remoteFactor - run time away from the rack of the data, relative to it
+   */
+  constructor (state: DispatchState, token: () => number, remoteFactor: number) {
+    this.#state = state
+    this.#token = token
+    this.#remoteFactor = remoteFactor
+  }
+
+  /** Starts as many waiting tasks as have room, in the order of the queue. */
+  startTasks (): void {
+    const { queue, sessions } = this.#state
+    if (queue.size === 0) return
+    const now = this.#state.now()
+    const candidates = [...sessions.values()].filter(session => session.isUsable(now)).map(session => new SessionCandidate(session))
+    if (candidates.length === 0) return
+    const newlyStarted = new Map<string, string[]>()
+    for (const job of sortQueue([...queue], now)) {
+      const wasStarted = job.started
+      this.#startTasksOf(job, candidates, now)
+      if (job.started && !wasStarted) newlyStarted.set(job.ownerId, [...newlyStarted.get(job.ownerId) ?? [], job.id])
+      if (!job.hasWaiting()) queue.delete(job)
+    }
+    for (const [ownerId, jobIds] of newlyStarted) this.#state.owners.send(ownerId, { type: 'started', jobIds })
+  }
+
+  #startTasksOf (job: JobRun, candidates: readonly SessionCandidate[], now: number): void {
+    for (const task of job.tasks) {
+      if (task.state !== 'waiting' || !job.isStepOpen(task.step)) continue
+      const open = candidates.filter(candidate => candidate.session.isUsable(now))
+      const countAt = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.step)
+      const target = pickTarget(open, job.spec.service, job.getStep(task), countAt, this.#remoteFactor)
+      if (target !== undefined) this.#startTask(job, task, target.session)
+      // Tasks of one step are equal: when one finds no room, neither do the others.
+      else if (job.spec.steps.length === 1) return
+    }
+  }
+
+  #startTask (job: JobRun, task: TaskRecord, session: TargetSession): void {
+    task.starts++
+    task.state = 'running'
+    job.started = true
+    const attempt = this.#token() * attemptsPerToken + task.starts
+    const run = session.startRun(task.name, attempt, job.spec.payload, job.getStep(task).demand)
+    this.#state.runs.set(task.name, { session, run })
+    this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100 })
+  }
+}
+
+function countStepRuns (session: TargetSession, job: JobRun, step: number): number {
+  let count = 0
+  for (const run of session.runs.values()) {
+    const name = parseTaskName(run.task)
+    if (name?.jobId === job.id && name.step === step) count++
+  }
+  return count
+}
+
+/** A session as placement sees it; room is read anew for each task of a pass. */
+class SessionCandidate implements Candidate {
+  readonly session: TargetSession
+
+  constructor (session: TargetSession) {
+    this.session = session
+  }
+
+  get info (): TargetInfo { return this.session.info }
+  get free (): TargetSession['free'] { return this.session.free }
+  get slowness (): number { return this.session.health.slowness }
+}
