--- a/packages/bench/src/history-runner.ts
+++ b/packages/bench/src/history-runner.ts
@@ -10,7 +10,7 @@
 import { type History, type Violation } from './history-records.js'
 import { type ClientEnvironment, runCaller, runOperator } from './random-clients.js'
 import { RandomFaults } from './random-faults.js'
-import { RandomSource } from './random-source.js'
+import { RandomSource } from '@sesamereel/emulator'
 import { runLimited } from './run-limited.js'
 
 export interface HistoryOptions {
--- a/packages/bench/src/random-clients.ts
+++ b/packages/bench/src/random-clients.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { type LimitList, type PlanList } from '@sesamereel/state'
 import { type CallerJob, type CallerSession, type Destination, type JobPlan, judgeReply } from './caller-session.js'
-import { type RandomSource } from './random-source.js'
+import { type RandomSource } from '@sesamereel/emulator'
 
 const callerWeights = { job: 60, resubmit: 12, cancel: 6, fetch: 12, 'read-lists': 6, lost: 8 } as const
 
--- a/packages/bench/src/random-faults.ts
+++ b/packages/bench/src/random-faults.ts
@@ -2,7 +2,7 @@
 import { type CallerSession } from './caller-session.js'
 import { type Cluster, type EntryProcess, type TargetProcess } from './cluster.js'
 import { type ActiveFault, type CutDirection, type FaultInjector } from './fault-injector.js'
-import { type RandomSource } from './random-source.js'
+import { type RandomSource } from '@sesamereel/emulator'
 import { runLimited } from './run-limited.js'
 
 /** Kinds of faults with their weights. */
--- a/packages/coordination/test/fixture.ts
+++ b/packages/coordination/test/fixture.ts
@@ -1,46 +1,7 @@
 import { type Configuration, type JobSpec, type ResourceVector, type TargetDescription, type TaskSpec, type Topology } from '@sesamereel/state'
-import { type AttemptOrder, type AttemptResult, AttemptRunner, Clock, createPlacement, Dispatcher, type DispatcherOptions, LoanChannel, type LoanGrant, type LoanRequest, type PlacementName } from '../src/index.js'
+import { type AttemptOrder, type AttemptResult, AttemptRunner, createPlacement, Dispatcher, type DispatcherOptions, LoanChannel, type LoanGrant, type LoanRequest, ManualClock as FakeClock, type PlacementName, runMessages } from '../src/index.js'
 
-interface FakeTimer {
-  at: number
-  callback: () => void
-}
-
-/** Clock whose time moves only by `advance`. */
-export class FakeClock extends Clock {
-  time = 1_000
-  private timers: FakeTimer[] = []
-
-  override now (): number {
-    return this.time
-  }
-
-  override startTimer (delayMs: number, callback: () => void): () => void {
-    const timer = { at: this.time + delayMs, callback }
-    this.timers.push(timer)
-    return () => { this.timers = this.timers.filter(other => other !== timer) }
-  }
-
-  /** Runs all timers that fall due, in order, and all messages between them. */
-  async advance (ms: number): Promise<void> {
-    const end = this.time + ms
-    await runMessages()
-    for (;;) {
-      const next = this.timers.reduce<FakeTimer | undefined>((first, timer) => first === undefined || timer.at < first.at ? timer : first, undefined)
-      if (next === undefined || next.at > end) break
-      this.time = Math.max(this.time, next.at)
-      this.timers = this.timers.filter(timer => timer !== next)
-      next.callback()
-      await runMessages()
-    }
-    this.time = end
-  }
-}
-
-/** Lets all pending microtasks run. */
-export async function runMessages (): Promise<void> {
-  await new Promise((resolve) => { setImmediate(resolve) })
-}
+export { FakeClock, runMessages }
 
 /** What a fake target does with a start. */
 export interface Behaviour {
--- /dev/null
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -0,0 +1,212 @@
+import { ManualClock } from '@sesamereel/coordination'
+import { ConfigurationRelay, defaultFleetLimits, Directory, DispatchKeeper, DomainLink, DomainProbe, type InstanceEntry, type JobAnswer, JobOwner, type JobSpec, OwnerServer, SilentLog, SilentMetrics, type StoreRow, type TargetInfo, TargetList } from '@sesamereel/fleet'
+import { EmulatedConnector, type LateOrders } from './emulated-connector.js'
+import { EmulatedNetwork } from './emulated-network.js'
+import { EmulatedPeers } from './emulated-peers.js'
+import { EmulatedStore } from './emulated-store.js'
+import { EmulatedTarget } from './emulated-target.js'
+import { FleetHistory } from './fleet-history.js'
+import { RandomSource } from './random-source.js'
+
+/** Table of the targets in the emulated store. */
+export const emulatedTargetTable = 'targets'
+
+const processorsPerTarget = 32_000
+
+export interface FleetShape {
+  readonly domains: readonly string[]
+  readonly instancesPerDomain: number
+  readonly targetsPerDomain: number
+  readonly seed: number
+}
+
+class OpenProbe extends DomainProbe {
+  readonly #network: EmulatedNetwork
+  readonly #place: string
+  readonly #targets: ReadonlyMap<string, EmulatedTarget>
+
+  constructor (network: EmulatedNetwork, place: string, targets: ReadonlyMap<string, EmulatedTarget>) {
+    super()
+    this.#network = network
+    this.#place = place
+    this.#targets = targets
+  }
+
+  override async canReach (domain: string): Promise<boolean> {
+    return [...this.#targets.values()].some(target => target.info.domain === domain && target.isUp && this.#network.isOpen(this.#place, target.info.id))
+  }
+}
+
+/** One process of the emulated fleet. */
+export interface EmulatedInstance {
+  readonly entry: InstanceEntry
+  readonly owner: JobOwner
+  readonly keeper: DispatchKeeper
+  readonly server: OwnerServer
+  readonly stop: () => void
+}
+
+/** Instances, targets, store and network in one process. */
+export class EmulatedFleet {
+  readonly clock = new ManualClock()
+  readonly network = new EmulatedNetwork(this.clock)
+  readonly store = new EmulatedStore(this.clock, this.network)
+  readonly history = new FleetHistory(this.clock)
+  readonly random: RandomSource
+  readonly late: LateOrders = { share: 0 }
+  readonly targets = new Map<string, EmulatedTarget>()
+  readonly instances = new Map<string, EmulatedInstance>()
+  readonly #peers = new EmulatedPeers(this.network, this.clock)
+  readonly #shape: FleetShape
+  #jobCount = 0
+
+  constructor (shape: FleetShape) {
+    this.#shape = shape
+    this.random = new RandomSource(shape.seed)
+    for (const domain of shape.domains) this.#addTargets(domain)
+    for (const domain of shape.domains) {
+      for (let index = 0; index < shape.instancesPerDomain; index++) this.startInstance(`${domain}-${index}`, domain)
+    }
+  }
+
+  /** Moves the time on. */
+  async advance (ms: number): Promise<void> {
+    await this.clock.advance(ms)
+  }
+
+  /** Starts a process under a name; an earlier one of the name must have ended. */
+  startInstance (instance: string, domain: string): void {
+    const entry: InstanceEntry = { instance, incarnation: `${instance}@${this.clock.now()}`, domain, address: instance, power: 1, startedMs: Math.round(this.clock.now()) }
+    this.instances.set(instance, this.#wire(entry))
+  }
+
+  /** Ends a process at once. */
+  killInstance (instance: string): void {
+    this.instances.get(instance)?.stop()
+    this.instances.delete(instance)
+    this.#peers.kill(instance)
+  }
+
+  /** @returns the instance that dispatches for a domain, by the highest token */
+  findHolder (domain: string): string | undefined {
+    let best: { readonly instance: string, readonly token: number } | undefined
+    for (const [instance, parts] of this.instances) {
+      const dispatcher = parts.server.findDispatcher(domain)
+      if (dispatcher !== undefined && dispatcher.token > (best?.token ?? -1)) best = { instance, token: dispatcher.token }
+    }
+    return best?.instance
+  }
+
+  /** @returns the targets of a domain */
+  listTargets (domain: string): readonly EmulatedTarget[] {
+    return [...this.targets.values()].filter(target => target.info.domain === domain)
+  }
+
+  /** Writes that a target leaves. */
+  drainTarget (target: EmulatedTarget): void {
+    this.history.recordDraining(target.info.id)
+    this.store.put(emulatedTargetTable, target.info.id, JSON.stringify({ ...target.info, draining: true }))
+  }
+
+  /** Submits a job to an instance; its answer goes into the history. */
+  submit (instance: string, tasks: number, workMs: number, jobId = this.#createJobId()): { readonly jobId: string, readonly answer: Promise<JobAnswer>, readonly leave: () => void } {
+    const parts = this.instances.get(instance)!
+    const spec = createJob(jobId, tasks, workMs)
+    this.history.recordSubmission(jobId)
+    const ticket = parts.owner.submit(spec, 8_000)
+    const answer = ticket.answer.then(result => {
+      // A process that has ended tells its callers nothing.
+      if (this.instances.get(instance) === parts) this.history.recordAnswer(jobId, result)
+      return result
+    })
+    return { jobId, answer, leave: () => { ticket.leave('the caller has left') } }
+  }
+
+  #createJobId (): string {
+    this.#jobCount++
+    return this.#jobCount.toString(16).padStart(16, '0')
+  }
+
+  #addTargets (domain: string): void {
+    for (let index = 0; index < this.#shape.targetsPerDomain; index++) {
+      const id = `target-${domain}-${index}`
+      const info: TargetInfo = { id, address: id, service: 'lab', domain, draining: false, capacity: { processors: processorsPerTarget, memoryMb: 1_024, accelerators: 0 }, labels: [], revision: 0 }
+      this.targets.set(id, new EmulatedTarget(info, this.clock, this.history))
+      this.store.put(emulatedTargetTable, id, JSON.stringify(info))
+    }
+  }
+
+  #wire (self: InstanceEntry): EmulatedInstance {
+    const { clock, network } = this
+    const log = new SilentLog()
+    const metrics = new SilentMetrics()
+    const limits = defaultFleetLimits
+    const store = this.store.connect(self.instance)
+    const directory = new Directory(store, clock, log)
+    const targets = new TargetList(store, emulatedTargetTable, decodeTarget, clock, log)
+    const relay = new ConfigurationRelay(() => true)
+    const server = new OwnerServer(self.incarnation, clock, relay)
+    const owner: JobOwner = new JobOwner({ homeDomain: self.domain, clock, limits, log, metrics }, domain => { keeper.takeOver(domain) })
+    const keeper: DispatchKeeper = new DispatchKeeper({
+      self,
+      store,
+      directory,
+      targets,
+      server,
+      clock,
+      log,
+      metrics,
+      probe: new OpenProbe(network, self.instance, this.targets),
+      createOptions: (domain, token, onSuperseded) => ({
+        domain,
+        token,
+        clock,
+        limits,
+        connector: new EmulatedConnector(self.instance, this.targets, network, clock, this.random, this.late),
+        log,
+        metrics,
+        remoteFactor: 1,
+        isListComplete: () => targets.isComplete(domain),
+        onSuperseded
+      })
+    })
+    const links = this.#shape.domains.map(domain => new DomainLink({ domain, self, directory, connector: this.#peers.connect(self.instance), local: server, relay, clock, log, observer: owner }))
+    for (const link of links) {
+      owner.addLink(link)
+      keeper.addLink(link)
+    }
+    directory.addObserver({ onDirectory: () => { keeper.onDirectory() } })
+    this.#peers.addServer(self.instance, server)
+    directory.start()
+    targets.start()
+    for (const link of links) link.start()
+    keeper.start()
+    const stop = (): void => {
+      keeper.close()
+      for (const link of links) link.close()
+      owner.close()
+      server.close()
+      directory.close()
+      targets.close()
+    }
+    return { entry: self, owner, keeper, server, stop }
+  }
+}
+
+function decodeTarget (row: StoreRow): TargetInfo | undefined {
+  return row.value === undefined ? undefined : { ...JSON.parse(row.value) as TargetInfo, revision: row.revision }
+}
+
+function createJob (id: string, tasks: number, workMs: number): JobSpec {
+  const processors = 14_000
+  return {
+    id,
+    service: 'lab',
+    payload: JSON.stringify({ workMs, processors }),
+    steps: [{ count: tasks, demand: { processors, memoryMb: 1, accelerators: 0 }, estimateMs: workMs, after: [] }],
+    priority: 0,
+    maxAttempts: 3,
+    objectiveMs: 1.6 * workMs + 60,
+    usefulMs: Math.max(6_000, 5 * workMs)
+  }
+}
