Answer a local owner's hello before its jobs arrive; follow no superseded dispatcher

Cause (emulator, planned hand-over: 3 of 100 jobs without an answer): an owner in the successor's own process submitted its jobs again from inside the welcome, when the local port was not known yet, so the jobs were dropped; before that it had linked to the old dispatcher again. Change: messages over the local port are deferred; a welcome below the token of the known row is not taken.

--- a/packages/fleet/src/directory.ts
+++ b/packages/fleet/src/directory.ts
@@ -6,6 +6,9 @@
 /** Table of the instances and of the dispatchers of the domains. */
 export const directoryTable = 'sesamereel'
 
+/** Fencing tokens that belong to one revision of a dispatcher's row: the holder and its successors. */
+export const tokensPerRevision = 16
+
 /** Pause in milliseconds between two lists of the directory. */
 const relistMs = 5_000
 
--- a/packages/fleet/src/dispatch-keeper.ts
+++ b/packages/fleet/src/dispatch-keeper.ts
@@ -1,6 +1,6 @@
 import { type Clock } from '@sesamereel/coordination'
 import { decideCandidacy, rankInstances } from './candidacy.js'
-import { type Directory, directoryTable, type DispatcherEntry, formatDispatcherKey, formatInstanceKey, type InstanceEntry, parseDispatcherRow } from './directory.js'
+import { type Directory, directoryTable, type DispatcherEntry, formatDispatcherKey, formatInstanceKey, type InstanceEntry, parseDispatcherRow, tokensPerRevision } from './directory.js'
 import { Dispatcher, type DispatcherOptions } from './dispatcher.js'
 import { type DomainLink } from './domain-link.js'
 import { type EventLog } from './event-log.js'
@@ -15,9 +15,6 @@
 /** Successors that a row names. */
 const successorCount = 3
 
-/** Fencing tokens that belong to one revision: the holder and its successors. */
-export const tokensPerRevision = 16
-
 /** Time in milliseconds that a planned successor has to claim before the old dispatcher ends. */
 const handOverMs = 700
 
--- a/packages/fleet/src/domain-link.ts
+++ b/packages/fleet/src/domain-link.ts
@@ -1,6 +1,6 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type ConfigurationRelay } from './configuration-relay.js'
-import { type Directory, type InstanceEntry } from './directory.js'
+import { type Directory, type InstanceEntry, tokensPerRevision } from './directory.js'
 import { type EventLog } from './event-log.js'
 import { type DispatcherMessage, type LoadDigest, type OwnerMessage } from './messages.js'
 import { type PeerConnector, type PeerStream } from './peer-streams.js'
@@ -115,7 +115,7 @@
   wake (): void {
     if (this.#closed) return
     const named = this.#options.directory.findDispatcher(this.domain)
-    const isOther = named !== undefined && this.#holder !== undefined && named.incarnation !== this.#holder.incarnation && named.revision * 16 > this.#token
+    const isOther = named !== undefined && this.#holder !== undefined && named.incarnation !== this.#holder.incarnation && named.revision * tokensPerRevision > this.#token
     if (this.#connected && isOther) this.#stream?.close('another dispatcher holds the domain')
     if (!this.#connected) this.#connect()
   }
@@ -204,6 +204,11 @@
   }
 
   #handleWelcome (token: number, endpoint: Endpoint): void {
+    const named = this.#options.directory.findDispatcher(this.domain)
+    if (named !== undefined && token < named.revision * tokensPerRevision) {
+      this.#stream?.close('the dispatcher is superseded')
+      return
+    }
     const isNew = token !== this.#token
     this.#connected = true
     this.#holderGone = false
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -107,7 +107,8 @@
     let port: StreamPort | undefined
     let isClosed = false
     const back: PeerStream = {
-      send: message => { if (!isClosed) onMessage(message as DispatcherMessage) },
+      // Deferred, as on a stream: the owner answers a welcome with jobs, which need the port below.
+      send: message => { queueMicrotask(() => { if (!isClosed) onMessage(message as DispatcherMessage) }) },
       close: reason => {
         if (isClosed) return
         isClosed = true
