--- /dev/null
+++ b/packages/emulator/src/random-day.ts
@@ -0,0 +1,240 @@
+import { type EmulatedFleet } from './emulated-fleet.js'
+import { type EmulatedTarget } from './emulated-target.js'
+
+/** Pause in milliseconds between two submitted jobs. */
+const jobGapMs = 40
+
+/** Time in milliseconds after an unknown answer after which a caller sends its job again. */
+const resubmitMs = 1_300
+
+/** Range in milliseconds of the pause between two faults, and of their length. */
+const shortestPauseMs = 100
+const longestPauseMs = 1_500
+const shortestFaultMs = 300
+const longestFaultMs = 5_000
+
+/** Time in milliseconds after the last fault in which everything must recover and jobs must end. */
+const recoveryMs = 12_000
+
+const faultNames = ['kill', 'stop', 'cut-domain', 'cut-instance', 'cut-targets', 'one-way', 'store-down', 'store-silent', 'store-loses', 'store-late', 'history', 'crash', 'restart', 'hang', 'fail', 'slow', 'reject', 'late-orders', 'drain'] as const
+
+type FaultName = (typeof faultNames)[number]
+
+interface Ending {
+  readonly at: number
+  readonly end: () => void
+}
+
+/** What a random day has shown. */
+export interface DayResult {
+  readonly violations: readonly string[]
+  readonly served: number
+  readonly faults: readonly string[]
+  /** Runs for which room is still reserved after the day. */
+  readonly reservedRuns: number
+  /** Whether jobs submitted after the recovery were all completed. */
+  readonly isRecovered: boolean
+}
+
+/** A day of random faults, which overlap and repeat, decided by the fleet's seed. */
+export class RandomDay {
+  readonly #fleet: EmulatedFleet
+  readonly #faults: string[] = []
+  #endings: Ending[] = []
+  #nextFaultAt: number
+
+  constructor (fleet: EmulatedFleet) {
+    this.#fleet = fleet
+    this.#nextFaultAt = fleet.clock.now() + shortestPauseMs
+  }
+
+  /** Plays the day. */
+  async play (lengthMs: number): Promise<DayResult> {
+    const fleet = this.#fleet
+    const until = fleet.clock.now() + lengthMs
+    while (fleet.clock.now() < until) {
+      this.#endFaults(fleet.clock.now())
+      this.#beginFaults(fleet.clock.now())
+      this.#submitJob()
+      await fleet.advance(jobGapMs)
+    }
+    this.#endFaults(Infinity)
+    await fleet.advance(recoveryMs)
+    const isRecovered = await this.#checkRecovery()
+    return { violations: fleet.history.listViolations(), served: fleet.history.measureServed(), faults: this.#faults, reservedRuns: this.#countReserved(), isRecovered }
+  }
+
+  #submitJob (): void {
+    const { random, instances } = this.#fleet
+    const instance = random.pick([...instances.keys()])
+    if (instance === undefined) return
+    const tasks = random.pickNumber(1, 4)
+    const workMs = random.pickNumber(40, 700)
+    const job = this.#fleet.submit(instance, tasks, workMs)
+    if (random.isPicked(0.05)) this.#fleet.clock.startTimer(random.pickNumber(20, 500), () => { job.leave() })
+    else this.#resubmitLater(job.jobId, instance, tasks, workMs, job.answer)
+  }
+
+  /** Sends a job again, to any instance, when its answer is unknown or its process has ended. */
+  #resubmitLater (jobId: string, instance: string, tasks: number, workMs: number, answer: Promise<{ readonly kind: string }>): void {
+    const { clock, instances, random } = this.#fleet
+    const parts = instances.get(instance)
+    let isSent = false
+    const send = (): void => {
+      if (isSent) return
+      isSent = true
+      clock.startTimer(resubmitMs, () => {
+        const other = random.pick([...instances.keys()])
+        if (other !== undefined) this.#fleet.submit(other, tasks, workMs, jobId)
+      })
+    }
+    answer.then(result => { if (result.kind === 'unknown' && instances.get(instance) === parts) send() }).catch(() => {})
+    const watch = (): void => {
+      if (instances.get(instance) !== parts) send()
+      else if (clock.now() < this.#nextFaultAt + longestFaultMs) clock.startTimer(100, watch)
+    }
+    clock.startTimer(100, watch)
+  }
+
+  #beginFaults (now: number): void {
+    if (now < this.#nextFaultAt) return
+    const { random } = this.#fleet
+    this.#nextFaultAt = now + random.pickNumber(shortestPauseMs, longestPauseMs)
+    const name = random.pick(faultNames)!
+    const lengthMs = random.pickNumber(shortestFaultMs, longestFaultMs)
+    const end = this.#inject(name)
+    this.#faults.push(`${now} ${name} for ${lengthMs} ms`)
+    if (end !== undefined) this.#endings.push({ at: now + lengthMs, end })
+  }
+
+  #endFaults (now: number): void {
+    const due = this.#endings.filter(ending => ending.at <= now)
+    this.#endings = this.#endings.filter(ending => ending.at > now)
+    for (const ending of due) ending.end()
+  }
+
+  /** @returns how to end the fault, if it lasts */
+  #inject (name: FaultName): (() => void) | undefined {
+    const { store, late, random } = this.#fleet
+    switch (name) {
+      case 'kill': return this.#killInstance()
+      case 'stop': return this.#stopInstance()
+      case 'cut-domain': return this.#cutDomain()
+      case 'cut-instance': return this.#cutInstance()
+      case 'cut-targets': return this.#cutTarget(true)
+      case 'one-way': return this.#cutTarget(false)
+      case 'store-down': return this.#setStore('down')
+      case 'store-silent': return this.#setStore('silent')
+      case 'store-loses': return this.#setStore('lose-replies')
+      case 'store-late': return this.#setStore('late-writes')
+      case 'history': store.dropHistory(); return undefined
+      case 'crash': { const target = this.#pickTarget(); target.crash(); return () => { target.restart() } }
+      case 'restart': this.#pickTarget().restart(); return undefined
+      case 'hang': return this.#setTarget('hangs')
+      case 'fail': return this.#setTarget('fails')
+      case 'reject': return this.#setTarget('rejects')
+      case 'slow': { const target = this.#pickTarget(); target.slowness = random.pickNumber(3, 8); return () => { target.slowness = 1 } }
+      case 'late-orders': late.share = random.pickNumber(2, 30) / 100; return () => { late.share = 0 }
+      case 'drain': return this.#drainTarget()
+    }
+  }
+
+  #pickTarget (): EmulatedTarget {
+    return this.#fleet.random.pick([...this.#fleet.targets.values()])!
+  }
+
+  #pickInstance (): string | undefined {
+    const { random, instances } = this.#fleet
+    // Half of the faults meet a dispatcher.
+    const holders = [...instances].filter(([, parts]) => parts.server.listDispatchers().length > 0).map(([name]) => name)
+    return random.isPicked(0.5) ? random.pick(holders) : random.pick([...instances.keys()])
+  }
+
+  #killInstance (): (() => void) | undefined {
+    const instance = this.#pickInstance()
+    if (instance === undefined) return undefined
+    const { domain } = this.#fleet.instances.get(instance)!.entry
+    this.#fleet.killInstance(instance)
+    return () => { if (!this.#fleet.instances.has(instance)) this.#fleet.startInstance(instance, domain) }
+  }
+
+  #stopInstance (): (() => void) | undefined {
+    const instance = this.#pickInstance()
+    if (instance === undefined) return undefined
+    const parts = this.#fleet.instances.get(instance)!
+    parts.keeper.leave().catch(() => {})
+    return () => {
+      if (this.#fleet.instances.get(instance) !== parts) return
+      parts.owner.finishAll('the instance stops')
+      this.#fleet.killInstance(instance)
+      this.#fleet.startInstance(instance, parts.entry.domain)
+    }
+  }
+
+  #listPlaces (): readonly string[] {
+    return [...this.#fleet.instances.keys(), ...this.#fleet.targets.keys(), 'store']
+  }
+
+  #isolate (inside: readonly string[]): () => void {
+    const members = new Set(inside)
+    this.#fleet.network.cutGroups(inside, this.#listPlaces().filter(place => !members.has(place)))
+    return () => { this.#fleet.network.heal() }
+  }
+
+  #cutDomain (): () => void {
+    const { domain } = this.#pickTarget().info
+    const instances = [...this.#fleet.instances.values()].filter(parts => parts.entry.domain === domain).map(parts => parts.entry.instance)
+    return this.#isolate([...instances, ...this.#fleet.listTargets(domain).map(target => target.info.id)])
+  }
+
+  #cutInstance (): (() => void) | undefined {
+    const instance = this.#pickInstance()
+    return instance === undefined ? undefined : this.#isolate([instance])
+  }
+
+  #cutTarget (bothWays: boolean): () => void {
+    const { id } = this.#pickTarget().info
+    for (const instance of this.#fleet.instances.keys()) {
+      this.#fleet.network.cut(id, instance)
+      if (bothWays) this.#fleet.network.cut(instance, id)
+    }
+    return () => { this.#fleet.network.heal() }
+  }
+
+  #setStore (fault: EmulatedFleet['store']['fault']): () => void {
+    this.#fleet.store.fault = fault
+    return () => { this.#fleet.store.fault = 'none' }
+  }
+
+  #setTarget (fault: EmulatedTarget['fault']): () => void {
+    const target = this.#pickTarget()
+    target.fault = fault
+    return () => { target.fault = 'none' }
+  }
+
+  #drainTarget (): (() => void) | undefined {
+    const target = this.#pickTarget()
+    // A target can say that it leaves only to a store that hears it.
+    if (this.#fleet.store.fault !== 'none') return undefined
+    this.#fleet.store.put('targets', target.info.id, JSON.stringify({ ...target.info, draining: true }))
+    return () => { this.#fleet.store.put('targets', target.info.id, JSON.stringify(target.info)) }
+  }
+
+  #countReserved (): number {
+    let count = 0
+    for (const parts of this.#fleet.instances.values()) {
+      for (const dispatcher of parts.server.listDispatchers()) {
+        for (const session of dispatcher.listSessions()) count += session.runs.size
+      }
+    }
+    return count
+  }
+
+  async #checkRecovery (): Promise<boolean> {
+    const { instances } = this.#fleet
+    const jobs = [...instances.keys()].map(instance => this.#fleet.submit(instance, 2, 100))
+    await this.#fleet.advance(2_000)
+    const completed = new Set(this.#fleet.history.answers.filter(entry => entry.answer.kind === 'completed').map(entry => entry.jobId))
+    return jobs.every(job => completed.has(job.jobId))
+  }
+}
