--- /dev/null
+++ b/packages/emulator/test/random-days.test.ts
@@ -0,0 +1,22 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { EmulatedFleet, RandomDay } from '../src/index.js'
+
+/** Seeds that failed once, with the cause, and one that never did. */
+const seeds = new Map([
+  [1, 'no failure seen'],
+  [3, 'a job on the list of jobs that may run somewhere was submitted to the same rejecting dispatcher without end']
+])
+
+describe('random days', () => {
+  for (const [seed, cause] of seeds) {
+    it(`keep the promises with seed ${seed} (${cause})`, { timeout: 120_000 }, async () => {
+      const fleet = new EmulatedFleet({ domains: ['a', 'b'], instancesPerDomain: 3, targetsPerDomain: 6, seed })
+      await fleet.advance(3_500)
+      const result = await new RandomDay(fleet).play(20_000)
+      assert.deepEqual(result.violations, [])
+      assert.equal(result.reservedRuns, 0)
+      assert.equal(result.isRecovered, true)
+    })
+  }
+})
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -180,7 +180,7 @@
   /** Submits a job that is at no dispatcher. */
   #place (job: OwnedJob): void {
     const connected = [...this.#links.values()].filter(link => link.isConnected)
-    const holder = connected.find(link => link.isLingering(job.spec.id))
+    const holder = connected.find(link => link.isLingering(job.spec.id) && !job.rejectedBy.has(link.domain))
     const options = connected
       .filter(link => !job.rejectedBy.has(link.domain))
       .map(link => ({ domain: link.domain, load: link.load, isHome: link.domain === this.#options.homeDomain }))
