Order the queue by the operator's priority; notice stalled runs within 120 ms

Change: among jobs that can be on time the operator's priority goes first, then the objective; targets with runs are looked at each 90 ms, and a run that stands for 120 ms or 0.3 of its estimate is moved.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -231,6 +231,7 @@
     const now = this.#state.now()
     const { jobs, owners, found, runs } = this.#state
     this.#intake.rejectHopeless(now)
+    this.#tracker.refreshViews(now)
     this.#dropUnlisted()
     for (const ownerId of owners.takeExpired(now)) {
       for (const job of [...jobs.values()]) if (job.ownerId === ownerId) this.#state.dropJob(job, 'owner lost')
--- a/packages/fleet/src/job-run.ts
+++ b/packages/fleet/src/job-run.ts
@@ -52,6 +52,7 @@
   }
 
   get id (): string { return this.spec.id }
+  get priority (): number { return this.spec.priority }
 
   /** @returns whether all tasks have ended `done` */
   get isComplete (): boolean { return this.#left === 0 }
--- a/packages/fleet/src/load-meter.ts
+++ b/packages/fleet/src/load-meter.ts
@@ -1,6 +1,7 @@
 import { type LoadEstimate } from './admission.js'
 import { type JobRun } from './job-run.js'
 import { type LoadDigest } from './messages.js'
+import { compareJobs } from './queue-order.js'
 import { type TargetSession } from './target-session.js'
 
 /** Part of the processors that tasks can use when they don't divide a target's room evenly. */
@@ -33,15 +34,14 @@
 }
 
 /**
- * Estimates the load that goes before a job.
+ * Estimates the load that goes before a job in the queue.
  *
  * @param queue - jobs with waiting tasks
- * @param beforeObjective - only work whose objective is earlier counts, as the queue serves it first
  */
-export function estimateLoad (queue: Iterable<JobRun>, ratePerMs: number, service: string, beforeObjective: number): LoadEstimate {
+export function estimateLoad (queue: Iterable<JobRun>, ratePerMs: number, job: JobRun): LoadEstimate {
   let work = 0
-  for (const job of queue) {
-    if (job.spec.service === service && job.objectiveAt <= beforeObjective) work += sumWaitingWork(job)
+  for (const other of queue) {
+    if (other.spec.service === job.spec.service && compareJobs(other, job) <= 0) work += sumWaitingWork(other)
   }
   return { workAheadMs: work, ratePerMs }
 }
--- a/packages/fleet/src/queue-order.ts
+++ b/packages/fleet/src/queue-order.ts
@@ -1,6 +1,8 @@
 /** What the order of the queue depends on. Times are monotonic, in milliseconds. */
 export interface QueuedJob {
   readonly id: string
+  /** 0 is the most urgent. */
+  readonly priority: number
   readonly objectiveAt: number
   readonly usefulAt: number
   readonly acceptedAt: number
@@ -23,14 +25,24 @@
 const urgencyRank: Readonly<Record<Urgency, number>> = { 'on-time': 0, late: 1, useless: 2 }
 
 /**
- * Sorts jobs for an overload: jobs that can still be on time go first, by their objective; a job
- * that missed it no longer delays those that can meet theirs.
+ * Decides which of two jobs of one urgency goes first: the operator's priority, then the earlier
+ * objective. It answers an overload, in which not all jobs can be on time.
+ *
+ * @returns a negative number when `a` goes first
+ */
+export function compareJobs (a: QueuedJob, b: QueuedJob): number {
+  return a.priority - b.priority || a.objectiveAt - b.objectiveAt || a.acceptedAt - b.acceptedAt
+}
+
+/**
+ * Sorts jobs for an overload: jobs that can still be on time go first; a job that missed its
+ * objective no longer delays those that can meet theirs.
  *
  * @returns a new list
  */
 export function sortQueue<J extends QueuedJob> (jobs: readonly J[], now: number): J[] {
   return jobs
     .map(job => ({ job, rank: urgencyRank[judgeUrgency(job, now)] }))
-    .sort((a, b) => a.rank - b.rank || a.job.objectiveAt - b.job.objectiveAt || a.job.acceptedAt - b.job.acceptedAt)
+    .sort((a, b) => a.rank - b.rank || compareJobs(a.job, b.job))
     .map(entry => entry.job)
 }
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -5,11 +5,17 @@
 import { type LossReason, SessionObserver, type TargetChange, type TargetSession } from './target-session.js'
 import { type EndKind, type StartRejection } from './target-types.js'
 
-/** Time in milliseconds without progress, over several looks, after which a run counts as stalled. */
-const stallMs = 400
+/** Shortest time in milliseconds without progress, over several looks, after which a run counts as stalled. */
+const stallMs = 120
 
-/** Part of a run's estimate that it may stay at one percentage. */
-const stallShare = 0.06
+/**
+ * Part of a run's estimate that it may stay at one percentage: a task of four times its estimate
+ * on a target that is six times slower takes a quarter of the estimate for one percent.
+ */
+const stallShare = 0.3
+
+/** Age in milliseconds of a view at which a target with runs is looked at again. */
+const viewAgeMs = 90
 
 /** Ratio of run time to estimate at which a run's target counts as slow while the run goes on. */
 const slowRatio = 2.5
@@ -99,6 +105,14 @@
     this.#state.logError('target-session', error)
   }
 
+  /** Looks at targets whose long runs have not been seen for a while, so that a stall shows soon. */
+  refreshViews (now: number): void {
+    for (const session of this.#state.sessions.values()) {
+      if (now - session.viewedAt < viewAgeMs || session.isSilent) continue
+      if ([...session.runs.values()].some(run => run.acceptedAt !== undefined && now - run.acceptedAt >= viewAgeMs)) session.lookNow()
+    }
+  }
+
   #judgeEnd (session: TargetSession, run: Run, how: EndKind): void {
     const now = this.#state.now()
     if (how === 'failed') session.health.recordFailure(now, parseTaskName(run.task)?.jobId ?? run.task)
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -71,6 +71,8 @@
   #closed = false
   #unanswered = 0
   #retryMs = firstRetryMs
+  #isLookingNow = false
+  #viewedAt = -Infinity
   #cancelRetry: (() => void) | undefined
   #used = { processors: 0, memoryMb: 0, accelerators: 0 }
   /** Runs whose room is not known; while there are any, the target counts as full. */
@@ -92,6 +94,9 @@
 
   get isSilent (): boolean { return this.#silent }
 
+  /** @returns local time of the newest view of the target */
+  get viewedAt (): number { return this.#viewedAt }
+
   /** @returns room that no run occupies */
   get free (): Demand {
     const { capacity } = this.#info
@@ -154,7 +159,11 @@
 
   /** Looks at once, beside the look that may be waiting. */
   lookNow (): void {
-    this.#look(0).catch((error: unknown) => { this.#observer.onFault(error) })
+    if (this.#isLookingNow) return
+    this.#isLookingNow = true
+    this.#look(0)
+      .catch((error: unknown) => { this.#observer.onFault(error) })
+      .finally(() => { this.#isLookingNow = false })
   }
 
   async #sendStart (run: Run, payload: string): Promise<void> {
@@ -249,6 +258,7 @@
     this.#bornMs = view.bornMs ?? this.#bornMs
     this.#targetClock.recordReply(view.clock, sentAt, now)
     this.#retryMs = firstRetryMs
+    this.#viewedAt = now
     this.#takeEnds(view)
     this.#takeRunning(view, now)
     this.#takeMissing(view, sentAt, now)
