--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**'] },
   ...neostandard({ ts: true }),
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/fleet/test/decisions.test.ts
@@ -0,0 +1,149 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { type Candidate, chooseDomain, compareJobs, decideAdmission, decideCandidacy, type InstanceEntry, judgeMissing, pickTarget, type QueuedJob, rankInstances, type Run, sortQueue, TargetClock, TargetHealth } from '../src/index.js'
+
+function createJob (id: string, priority: number, objectiveAt: number, remainingMs = 100): QueuedJob {
+  return { id, priority, objectiveAt, usefulAt: objectiveAt * 3, acceptedAt: 0, remainingMs }
+}
+
+describe('the order of the queue in an overload', () => {
+  it('serves jobs that can be on time before those that are late, whatever their priority', () => {
+    const late = createJob('late', 0, 50)
+    const useless = createJob('useless', 0, 10)
+    const onTime = createJob('on-time', 2, 500)
+    assert.deepEqual(sortQueue([useless, late, onTime], 0).map(job => job.id), ['on-time', 'late', 'useless'])
+  })
+
+  it('follows the operator\'s priority, then the objective', () => {
+    assert.ok(compareJobs(createJob('a', 0, 900), createJob('b', 1, 200)) < 0)
+    assert.ok(compareJobs(createJob('a', 1, 100), createJob('b', 1, 200)) < 0)
+  })
+})
+
+describe('admission', () => {
+  it('rejects at once a job whose answer would come too late, and tells when to come back', () => {
+    const decision = decideAdmission({ workAheadMs: 1_000_000, ratePerMs: 1_000 }, 200, 500)
+    assert.deepEqual(decision, { kind: 'reject', predictedMs: 1_200, retryAfterMs: 700 })
+  })
+
+  it('takes a job that waits and is still of use', () => {
+    assert.equal(decideAdmission({ workAheadMs: 200_000, ratePerMs: 1_000 }, 200, 500).kind, 'admit')
+  })
+})
+
+describe('placement', () => {
+  const step = { count: 1, demand: { processors: 14_000, memoryMb: 64, accelerators: 0 }, estimateMs: 100, after: [] }
+  const createCandidate = (id: string, free: number, slowness: number, labels: readonly string[] = []): Candidate => ({
+    info: { id, address: id, service: 's', domain: 'a', draining: false, capacity: { processors: 32_000, memoryMb: 1_000, accelerators: 0 }, labels, revision: 1 },
+    free: { processors: free, memoryMb: 1_000, accelerators: 0 },
+    slowness
+  })
+
+  it('prefers the fastest target that has room', () => {
+    const picked = pickTarget([createCandidate('full', 1_000, 0.5), createCandidate('slow', 32_000, 2), createCandidate('fast', 32_000, 1)], 's', step, () => 0, 1)
+    assert.equal(picked?.info.id, 'fast')
+  })
+
+  it('fills equally fast targets, so that large tasks find room', () => {
+    const picked = pickTarget([createCandidate('empty', 32_000, 1), createCandidate('half', 16_000, 1)], 's', step, () => 0, 1)
+    assert.equal(picked?.info.id, 'half')
+  })
+
+  it('keeps to the required label and the most tasks per target', () => {
+    assert.equal(pickTarget([createCandidate('a', 32_000, 1)], 's', { ...step, requiredLabel: 'gpu' }, () => 0, 1), undefined)
+    assert.equal(pickTarget([createCandidate('a', 32_000, 1)], 's', { ...step, maxPerTarget: 1 }, () => 1, 1), undefined)
+  })
+
+  it('prefers the rack of the data', () => {
+    const picked = pickTarget([createCandidate('far', 32_000, 1, ['r2']), createCandidate('near', 32_000, 1.3, ['r1'])], 's', { ...step, dataRack: 'r1' }, () => 0, 3)
+    assert.equal(picked?.info.id, 'near')
+  })
+})
+
+describe('the choice of a domain', () => {
+  const load = { freeProcessors: 100_000, usableProcessors: 200_000, waitMs: 0, queuedJobs: 0, largestFree: 32_000 }
+  const need = { processors: 28_000, largestTask: 14_000 }
+
+  it('stays at home while home has room', () => {
+    assert.equal(chooseDomain([{ domain: 'b', load: { ...load, freeProcessors: 110_000 }, isHome: false }, { domain: 'a', load, isHome: true }], need)?.domain, 'a')
+  })
+
+  it('leaves a home without room for a domain that has some', () => {
+    assert.equal(chooseDomain([{ domain: 'a', load: { ...load, freeProcessors: 0, largestFree: 0 }, isHome: true }, { domain: 'b', load, isHome: false }], need)?.domain, 'b')
+  })
+
+  it('avoids a domain without usable targets', () => {
+    assert.equal(chooseDomain([{ domain: 'a', load: { ...load, usableProcessors: 0, freeProcessors: 0 }, isHome: true }, { domain: 'b', load: { ...load, waitMs: 400, queuedJobs: 9, freeProcessors: 0 }, isHome: false }], need)?.domain, 'b')
+  })
+})
+
+describe('candidates for a dispatcher', () => {
+  const createEntry = (instance: string, power: number, startedMs = 0, domain = 'a'): InstanceEntry => ({ instance, incarnation: instance, domain, address: instance, power, startedMs })
+  const strong = createEntry('strong', 1)
+  const weak = createEntry('weak', 0.24)
+  const inputs = { self: weak, domain: 'a', members: [weak, strong], lostMs: 150, successorRank: undefined, storeReachable: true, lostHolder: undefined }
+
+  it('are ranked by power, then by the later start', () => {
+    assert.deepEqual(rankInstances([weak, createEntry('older', 0.95, 1_000), createEntry('newer', 1, 9_000)]).map(entry => entry.instance), ['newer', 'older', 'weak'])
+  })
+
+  it('wait for stronger ones, and claim when those do not', () => {
+    assert.equal(decideCandidacy({ ...inputs, self: strong }), 'claim')
+    assert.equal(decideCandidacy(inputs), 'wait')
+    assert.equal(decideCandidacy({ ...inputs, lostMs: 400 }), 'claim')
+  })
+
+  it('of another domain wait longer', () => {
+    const foreign = createEntry('foreign', 4, 0, 'b')
+    assert.equal(decideCandidacy({ ...inputs, self: foreign, lostMs: 1_500 }), 'wait')
+    assert.equal(decideCandidacy({ ...inputs, self: foreign, lostMs: 2_500 }), 'claim')
+  })
+
+  it('take over without the store only if the row names them', () => {
+    assert.equal(decideCandidacy({ ...inputs, storeReachable: false, lostMs: 5_000 }), 'wait')
+    assert.equal(decideCandidacy({ ...inputs, storeReachable: false, lostMs: 5_000, successorRank: 1 }), 'take-over-without-store')
+  })
+})
+
+describe('the health of a target', () => {
+  it('suspends a target after failures of different jobs, and tries it with single runs', () => {
+    const health = new TargetHealth()
+    health.recordFailure(0, 'job-1')
+    health.recordFailure(1, 'job-1')
+    assert.equal(health.isStartAllowed(1, 0), true)
+    health.recordFailure(2, 'job-2')
+    assert.equal(health.isStartAllowed(3, 0), false)
+    assert.equal(health.isStartAllowed(400, 0), true)
+    assert.equal(health.isStartAllowed(400, 1), false)
+    health.recordSuccess(1)
+    assert.equal(health.isStartAllowed(401, 5), true)
+  })
+})
+
+describe('leases', () => {
+  it('have lapsed only when the slowest clock says so', () => {
+    const clock = new TargetClock()
+    clock.recordReply(10_000, 0, 1)
+    clock.recordLease(11_000)
+    assert.equal(clock.hasLapsed(1_010), false)
+    assert.equal(clock.hasLapsed(1_030), true)
+  })
+})
+
+describe('a run that a view does not list', () => {
+  const run: Run = { task: 't', attempt: 1, demand: undefined, state: 'starting', sentAt: 100, acceptedAt: undefined, stopAcceptedAt: undefined, deadline: 5_000, unanswered: true, percent: 0, progressAt: 100, stopSentAt: 0 }
+
+  it('may still start before its deadline', () => {
+    assert.equal(judgeMissing(run, 4_900, 200), undefined)
+  })
+
+  it('has never started when its deadline has passed on the target\'s clock, or a stop bars it', () => {
+    assert.equal(judgeMissing(run, 5_001, 200), 'never-started')
+    assert.equal(judgeMissing({ ...run, stopAcceptedAt: 150 }, 4_900, 200), 'never-started')
+  })
+
+  it('is gone when the target had accepted it before the look', () => {
+    assert.equal(judgeMissing({ ...run, acceptedAt: 150 }, 4_900, 200), 'not-listed')
+    assert.equal(judgeMissing({ ...run, acceptedAt: 250 }, 4_900, 200), undefined)
+  })
+})
