--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -25,6 +25,9 @@
 /** Pause in milliseconds before a stop without an answer is sent again. */
 const stopRetryMs = 200
 
+/** Ended runs that are remembered, so that an older view that arrives late doesn't bring them back. */
+const rememberedEnds = 256
+
 /** Why a run is gone without an end in the target's list. */
 export type LossReason = 'lapsed' | 'restarted' | 'never-started' | 'not-listed'
 
@@ -70,6 +73,8 @@
   #silent = false
   #closed = false
   #unanswered = 0
+  /** Keys of the runs that ended last, in the order of their ends. */
+  readonly #endedKeys = new Set<string>()
   #retryMs = firstRetryMs
   #isLookingNow = false
   #viewedAt = -Infinity
@@ -272,7 +277,9 @@
     for (const end of view.ended) {
       if (end.number <= this.#lastSeen) continue
       this.#lastSeen = end.number
-      const run = this.runs.get(formatRunKey(end.task, end.attempt))
+      const key = formatRunKey(end.task, end.attempt)
+      this.#rememberEnd(key)
+      const run = this.runs.get(key)
       if (run === undefined) {
         this.#observer.onUnknownEnd(this, end.task, end.how)
         continue
@@ -282,10 +289,19 @@
     }
   }
 
+  #rememberEnd (key: string): void {
+    this.#endedKeys.add(key)
+    if (this.#endedKeys.size <= rememberedEnds) return
+    const [oldest] = this.#endedKeys
+    this.#endedKeys.delete(oldest!)
+  }
+
   #takeRunning (view: TargetView, now: number): void {
     for (const entry of view.running) {
-      const run = this.runs.get(formatRunKey(entry.task, entry.attempt))
+      const key = formatRunKey(entry.task, entry.attempt)
+      const run = this.runs.get(key)
       if (run === undefined) {
+        if (this.#endedKeys.has(key)) continue
         this.#addFound(entry.task, entry.attempt, entry.percent, now)
         continue
       }
@@ -323,6 +339,7 @@
 
   #forgetLife (reason: LossReason): void {
     this.#lastSeen = 0
+    this.#endedKeys.clear()
     this.#bornMs = undefined
     this.#seen = false
     this.#targetClock.reset()
