--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -131,7 +131,7 @@
     const unfit = this.#findUnfit(job)
     if (unfit !== undefined) return this.#reject(port, job, unfit, unfitRetryMs, { targets: sessions.size })
     const now = this.#state.now()
-    const rate = estimateRate(sessions.values(), job.spec.service, now)
+    const rate = estimateRate(sessions.values(), job.spec.service)
     const load = estimateLoad(queue, rate, job)
     // With work ahead of it a job's own tasks start one after the other as room becomes free.
     const ownMs = load.workAheadMs > 0 && rate > 0 ? sumWaitingWork(job) / rate : 0
--- a/packages/fleet/src/load-meter.ts
+++ b/packages/fleet/src/load-meter.ts
@@ -23,12 +23,12 @@
 /**
  * Estimates what usable targets of a service do in a millisecond, in processor milliseconds.
  */
-export function estimateRate (sessions: Iterable<TargetSession>, service: string | undefined, now: number): number {
+export function estimateRate (sessions: Iterable<TargetSession>, service: string | undefined): number {
   let rate = 0
   for (const session of sessions) {
     if (service !== undefined && session.info.service !== service) continue
     if (!session.isSeen || session.isSilent || session.info.draining || session.health.onProbation) continue
-    rate += session.info.capacity.processors / session.health.estimateSlowness(now)
+    rate += session.info.capacity.processors / session.health.slowness
   }
   return rate * packingShare
 }
@@ -60,7 +60,7 @@
     free += session.free.processors
     largest = Math.max(largest, session.free.processors)
   }
-  const rate = estimateRate(list, undefined, now)
+  const rate = estimateRate(list, undefined)
   const work = queue.reduce((sum, job) => sum + sumWaitingWork(job), 0)
   const waitMs = work === 0 ? 0 : rate > 0 ? work / rate : 60_000
   return { freeProcessors: free, usableProcessors: usable, waitMs: Math.round(waitMs), queuedJobs: queue.length, largestFree: largest }
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -119,7 +119,7 @@
     const { job, task } = this.#state.findTask(run.task)
     if (how !== 'done' || job === undefined || task === undefined) return
     const { estimateMs } = job.getStep(task)
-    session.health.recordSuccess(now, estimateMs > 0 ? (now - run.sentAt) / estimateMs : 1)
+    session.health.recordSuccess(estimateMs > 0 ? (now - run.sentAt) / estimateMs : 1)
   }
 
   #endTask (name: string, how: EndKind): void {
@@ -156,7 +156,7 @@
         session.stopRun(run)
       } else if (run.percent >= telltalePercent) {
         const ratio = (now - run.acceptedAt) / (estimateMs * run.percent / 100)
-        if (ratio > slowRatio) session.health.recordSlowRun(now, ratio)
+        if (ratio > slowRatio) session.health.recordSlowRun(ratio)
       }
     }
   }
--- a/packages/fleet/src/target-health.ts
+++ b/packages/fleet/src/target-health.ts
@@ -10,12 +10,6 @@
 /** Weight of the newest run in the learned slowness. */
 const slownessWeight = 0.2
 
-/** Slowness above which a target counts as troubled; what lies above it fades without new runs. */
-const troubledSlowness = 2
-
-/** Time in milliseconds in which the slowness above `troubledSlowness` halves without new runs. */
-const fadeMs = 800
-
 /** Bounds of one observation, so that a single odd run cannot hide a target. */
 const lowestRatio = 0.1
 const highestRatio = 12
@@ -32,18 +26,10 @@
   #suspendedUntil = -Infinity
   #onProbation = false
   #slowness = 1
-  #observedAt = 0
 
-  /**
-   * Estimates run time relative to the task's estimate; 1 is as estimated. A target that was slow
-   * gets no work while others are faster, so its slowness fades until it is tried again.
-   *
-   * @param now - monotonic time in milliseconds
-   */
-  estimateSlowness (now: number): number {
-    if (this.#slowness <= troubledSlowness) return this.#slowness
-    const excess = this.#slowness - troubledSlowness
-    return troubledSlowness + excess * 0.5 ** ((now - this.#observedAt) / fadeMs)
+  /** @returns run time relative to the estimate, as a moving average; 1 is as estimated */
+  get slowness (): number {
+    return this.#slowness
   }
 
   /** @returns whether the target is suspended or allowed single runs only */
@@ -63,15 +49,13 @@
   }
 
   /** Records a run that ended `done`, with its time relative to the estimate. */
-  recordSuccess (now: number, ratio: number): void {
+  recordSuccess (ratio: number): void {
     this.#failures = 0
     this.#lastFailedJob = undefined
     this.#onProbation = false
     this.#suspensionMs = firstSuspensionMs
     const bounded = Math.min(highestRatio, Math.max(lowestRatio, ratio))
-    this.#slowness = this.estimateSlowness(now)
     this.#slowness += (bounded - this.#slowness) * slownessWeight
-    this.#observedAt = now
   }
 
   /** Records a run that failed; failures of one job count once, as the job itself may be at fault. */
@@ -82,9 +66,8 @@
   }
 
   /** Records a run that takes longer than expected, so that placement prefers other targets at once. */
-  recordSlowRun (now: number, ratio: number): void {
-    this.#slowness = Math.max(this.estimateSlowness(now), Math.min(highestRatio, ratio))
-    this.#observedAt = now
+  recordSlowRun (ratio: number): void {
+    this.#slowness = Math.max(this.#slowness, Math.min(highestRatio, ratio))
   }
 
   /** Keeps new work away for a while; each suspension without a success between is twice as long. */
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -1,9 +1,7 @@
 import { type DispatchState } from './dispatch-state.js'
 import { type JobRun, type TaskRecord } from './job-run.js'
 import { parseTaskName } from './job-types.js'
-import { predictWaitMs } from './admission.js'
-import { estimateRate, sumWaitingWork } from './load-meter.js'
-import { type Candidate, limitSlowness, pickTarget } from './placement.js'
+import { type Candidate, pickTarget } from './placement.js'
 import { sortQueue } from './queue-order.js'
 import { type TargetSession } from './target-session.js'
 import { type TargetInfo } from './target-types.js'
@@ -32,29 +30,24 @@
     const { queue, sessions } = this.#state
     if (queue.size === 0) return
     const now = this.#state.now()
-    const candidates = [...sessions.values()].filter(session => session.isUsable(now)).map(session => new SessionCandidate(session, now))
+    const candidates = [...sessions.values()].filter(session => session.isUsable(now)).map(session => new SessionCandidate(session))
     if (candidates.length === 0) return
-    const slownesses = candidates.map(candidate => candidate.slowness)
     const newlyStarted = new Map<string, string[]>()
-    let workAheadMs = 0
-    const ratePerMs = estimateRate(sessions.values(), undefined, now)
     for (const job of sortQueue([...queue], now)) {
       const wasStarted = job.started
-      const waitMs = predictWaitMs({ workAheadMs, ratePerMs })
-      workAheadMs += sumWaitingWork(job)
-      this.#startTasksOf(job, candidates, limitSlowness(slownesses, waitMs, job.remainingMs), now)
+      this.#startTasksOf(job, candidates, now)
       if (job.started && !wasStarted) newlyStarted.set(job.ownerId, [...newlyStarted.get(job.ownerId) ?? [], job.id])
       if (!job.hasWaiting()) queue.delete(job)
     }
     for (const [ownerId, jobIds] of newlyStarted) this.#state.owners.send(ownerId, { type: 'started', jobIds })
   }
 
-  #startTasksOf (job: JobRun, candidates: readonly SessionCandidate[], slowestAllowed: number, now: number): void {
+  #startTasksOf (job: JobRun, candidates: readonly SessionCandidate[], now: number): void {
     for (const task of job.tasks) {
       if (task.state !== 'waiting' || !job.isStepOpen(task.step)) continue
       const open = candidates.filter(candidate => candidate.session.isUsable(now))
       const countAt = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.step)
-      const target = pickTarget(open, job.spec.service, job.getStep(task), countAt, this.#remoteFactor, slowestAllowed)
+      const target = pickTarget(open, job.spec.service, job.getStep(task), countAt, this.#remoteFactor)
       if (target !== undefined) this.#startTask(job, task, target.session)
       // Tasks of one step are equal: when one finds no room, neither do the others.
       else if (job.spec.steps.length === 1) return
@@ -68,7 +61,7 @@
     const attempt = this.#token() * attemptsPerToken + task.starts
     const run = session.startRun(task.name, attempt, job.spec.payload, job.getStep(task).demand)
     this.#state.runs.set(task.name, { session, run })
-    this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.estimateSlowness(run.sentAt) * 100) / 100 })
+    this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100 })
   }
 }
 
@@ -84,13 +77,12 @@
 /** A session as placement sees it; room is read anew for each task of a pass. */
 class SessionCandidate implements Candidate {
   readonly session: TargetSession
-  readonly slowness: number
 
-  constructor (session: TargetSession, now: number) {
+  constructor (session: TargetSession) {
     this.session = session
-    this.slowness = session.health.estimateSlowness(now)
   }
 
   get info (): TargetInfo { return this.session.info }
   get free (): TargetSession['free'] { return this.session.free }
+  get slowness (): number { return this.session.health.slowness }
 }
