Never call a job not run that a lost dispatcher may have started; seed the emulator's jitter

Change: the answer says 'unknown' whenever something may have started. Result: the new test fails without the change.

--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -142,8 +142,9 @@
     const metrics = new SilentMetrics()
     const limits = defaultFleetLimits
     const store = this.store.connect(self.instance)
-    const directory = new Directory(store, clock, log)
-    const targets = new TargetList(store, emulatedTargetTable, decodeTarget, clock, log)
+    const random = (): number => this.random.pickNumber(0, 999_999) / 1_000_000
+    const directory = new Directory(store, clock, log, random)
+    const targets = new TargetList(store, emulatedTargetTable, decodeTarget, clock, log, random)
     const relay = new ConfigurationRelay(() => true)
     const server = new OwnerServer(self.incarnation, clock, relay)
     const owner: JobOwner = new JobOwner({ homeDomain: self.domain, clock, limits, log, metrics }, domain => { keeper.takeOver(domain) })
--- a/packages/fleet/src/directory.ts
+++ b/packages/fleet/src/directory.ts
@@ -92,10 +92,13 @@
   #dispatchers: ReadonlyMap<string, DispatcherEntry> = new Map()
   #loaded = false
 
-  constructor (store: MetadataStore, clock: Clock, log: EventLog) {
+  /**
+   * @param random - source of the jitter after failed calls
+   */
+  constructor (store: MetadataStore, clock: Clock, log: EventLog, random = Math.random) {
     super()
     this.#log = log
-    this.#watch = new TableWatch(store, directoryTable, { relistMs, pauseMs: 0 }, clock, log, this)
+    this.#watch = new TableWatch(store, directoryTable, { relistMs, pauseMs: 0, random }, clock, log, this)
   }
 
   get isLoaded (): boolean { return this.#loaded }
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -186,7 +186,7 @@
       .map(link => ({ domain: link.domain, load: link.load, isHome: link.domain === this.#options.homeDomain }))
     const chosen = holder?.domain ?? chooseDomain(options, job.need)?.domain
     if (chosen === undefined) {
-      if (job.rejectedBy.size > 0) this.#answer(job, { kind: 'rejected', reason: 'overloaded', retryAfterMs: job.retryAfterMs })
+      if (job.rejectedBy.size > 0) this.#answer(job, createRefusal(job, 'overloaded'))
       return
     }
     this.#send(job, this.#links.get(chosen)!, job.mayHaveStarted)
@@ -215,7 +215,7 @@
       return
     }
     if (reason === 'fits-no-target' && !job.mayHaveStarted) this.#answer(job, { kind: 'failed', reason })
-    else this.#answer(job, job.mayHaveStarted ? { kind: 'unknown', reason } : { kind: 'rejected', reason, retryAfterMs: job.retryAfterMs })
+    else this.#answer(job, createRefusal(job, reason))
   }
 
   #handleWithdrawn (link: DomainLink, jobId: string): void {
@@ -316,3 +316,8 @@
     } else if (link === undefined) this.#place(job)
   }
 }
+
+/** Says that a job was not run only if nothing of it can have started. */
+function createRefusal (job: OwnedJob, reason: RejectionReason): JobAnswer {
+  return job.mayHaveStarted ? { kind: 'unknown', reason } : { kind: 'rejected', reason, retryAfterMs: job.retryAfterMs }
+}
--- a/packages/fleet/src/table-watch.ts
+++ b/packages/fleet/src/table-watch.ts
@@ -15,6 +15,8 @@
   readonly relistMs: number
   /** Pause in milliseconds after each watch call, so that many changes come in one reply. */
   readonly pauseMs: number
+  /** Source of the jitter after failed calls, from 0 to 1; `Math.random` when absent. */
+  readonly random?: () => number
 }
 
 /** Receives the rows of a table; each call holds all rows that are known. */
@@ -34,7 +36,7 @@
   readonly #log: EventLog
   readonly #observer: TableObserver
   readonly #rows = new Map<string, StoreRow>()
-  readonly #backoff = new Backoff(firstPauseMs, longestPauseMs)
+  readonly #backoff: Backoff
   #revision: number | undefined
   #listedAt = -Infinity
   #lostAt: number | undefined
@@ -46,6 +48,7 @@
     this.#store = store
     this.#table = table
     this.#times = times
+    this.#backoff = new Backoff(firstPauseMs, longestPauseMs, times.random)
     this.#clock = clock
     this.#log = log
     this.#observer = observer
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -42,12 +42,15 @@
   #targets: ReadonlyMap<string, TargetInfo> = new Map()
   #cancelExpiry: (() => void) | undefined
 
-  constructor (store: MetadataStore, table: string, decode: TargetDecoder, clock: Clock, log: EventLog) {
+  /**
+   * @param random - source of the jitter after failed calls
+   */
+  constructor (store: MetadataStore, table: string, decode: TargetDecoder, clock: Clock, log: EventLog, random = Math.random) {
     super()
     this.#decode = decode
     this.#clock = clock
     this.#log = log
-    this.#createWatch = () => new TableWatch(store, table, { relistMs, pauseMs: watchPauseMs }, clock, log, this)
+    this.#createWatch = () => new TableWatch(store, table, { relistMs, pauseMs: watchPauseMs, random }, clock, log, this)
   }
 
   /** @returns milliseconds since the list was known to be current; infinite before the first list */
--- /dev/null
+++ b/packages/fleet/test/job-owner.test.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { ManualClock } from '@sesamereel/coordination'
+import { defaultFleetLimits, type DomainLink, JobOwner, type JobSpec, type LoadDigest, type OwnerMessage, SilentLog, SilentMetrics } from '../src/index.js'
+
+const load: LoadDigest = { freeProcessors: 100_000, usableProcessors: 100_000, waitMs: 0, queuedJobs: 0, largestFree: 32_000 }
+
+const spec: JobSpec = { id: '5c0e7a21d94b36f8', service: 's', payload: '', steps: [{ count: 1, demand: { processors: 1_000, memoryMb: 1, accelerators: 0 }, estimateMs: 3_000, after: [] }], priority: 0, maxAttempts: 1, objectiveMs: 5_000, usefulMs: 15_000 }
+
+/** The parts of a link that an owner uses. */
+class FakeLink {
+  isConnected = true
+  lostMs = 0
+  lingering = ''
+  readonly sent: OwnerMessage[] = []
+  readonly token = 16
+  readonly load = load
+  readonly domain: string
+
+  constructor (domain: string) {
+    this.domain = domain
+  }
+
+  isLingering (jobId: string): boolean { return jobId === this.lingering }
+  measureLostMs (): number { return this.lostMs }
+  noteSubmitted (): void {}
+  send (message: OwnerMessage): void { this.sent.push(message) }
+
+  asLink (): DomainLink { return this as unknown as DomainLink }
+}
+
+function createOwner (clock: ManualClock, links: readonly FakeLink[]): JobOwner {
+  const owner = new JobOwner({ homeDomain: 'a', clock, limits: defaultFleetLimits, log: new SilentLog(), metrics: new SilentMetrics() }, () => {})
+  for (const link of links) owner.addLink(link.asLink())
+  return owner
+}
+
+describe('the owner of jobs', () => {
+  it('does not say "not run" about a job that a lost dispatcher may have started and all others have rejected', async () => {
+    const clock = new ManualClock()
+    const [home, other] = [new FakeLink('a'), new FakeLink('b')]
+    const owner = createOwner(clock, [home, other])
+    const { answer } = owner.submit(spec, 20_000)
+    owner.onDispatcherMessage(home.asLink(), { type: 'rejected', jobId: spec.id, reason: 'overloaded', retryAfterMs: 100 })
+    owner.onDispatcherMessage(other.asLink(), { type: 'started', jobIds: [spec.id] })
+    other.isConnected = false
+    other.lostMs = 2_400
+    owner.onUnlinked(other.asLink())
+    await clock.advance(60)
+    assert.equal((await answer).kind, 'unknown')
+    owner.close()
+  })
+
+  it('submits a job only once to a dispatcher that rejects it, also when the job lingers there', async () => {
+    const clock = new ManualClock()
+    const home = new FakeLink('a')
+    home.lingering = spec.id
+    const other = new FakeLink('b')
+    const owner = createOwner(clock, [home, other])
+    const { answer } = owner.submit(spec, 20_000)
+    for (const link of [home, other]) owner.onDispatcherMessage(link.asLink(), { type: 'rejected', jobId: spec.id, reason: 'overloaded', retryAfterMs: 100 })
+    assert.deepEqual(await answer, { kind: 'rejected', reason: 'overloaded', retryAfterMs: 100 })
+    assert.equal(home.sent.length + other.sent.length, 2)
+    owner.close()
+  })
+})
