--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -1,8 +1,9 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type ConfigurationRelay } from './configuration-relay.js'
-import { type Dispatcher, OwnerPort } from './dispatcher.js'
+import { type Dispatcher } from './dispatcher.js'
 import { LocalDispatchers } from './domain-link.js'
 import { type DispatcherMessage, type OwnerMessage } from './messages.js'
+import { OwnerPort } from './owner-table.js'
 import { type PeerHandler, type PeerStream } from './peer-streams.js'
 
 /** Silence in milliseconds after which an owner counts as lost; a few heartbeats. */
@@ -106,7 +107,8 @@
     let port: StreamPort | undefined
     let isClosed = false
     const back: PeerStream = {
-      send: message => { if (!isClosed) onMessage(message as DispatcherMessage) },
+      // Deferred, as on a stream: the owner answers a welcome with jobs, which need the port below.
+      send: message => { queueMicrotask(() => { if (!isClosed) onMessage(message as DispatcherMessage) }) },
       close: reason => {
         if (isClosed) return
         isClosed = true
