--- a/packages/fleet/src/target-health.ts
+++ b/packages/fleet/src/target-health.ts
@@ -48,7 +48,7 @@
     return !this.#onProbation || running === 0
   }
 
-  /** Records a run that ended `done`. */
+  /** Records a run that ended `done`, with its time relative to the estimate. */
   recordSuccess (ratio: number): void {
     this.#failures = 0
     this.#lastFailedJob = undefined
