Bar orders of an earlier life of a target, and wait out a dispatcher that may live on

Change: a session remembers orders without an answer for 12.5 s and bars them in each new life before it uses it; runs that a view of the earlier life does not confirm wait for the new life's answer; a start without an answer is not given up while its target is out of reach, and its job is told so at once (start-unconfirmed). Owners tell how long runs of the lost dispatcher may exist: 1.17 s if it has surely ended, else 2.3 s. Room accounting and the observer moved to files of their own.

Ruled out: waiting for unanswered orders before any second start, which would end most jobs while orders are delayed.

--- a/packages/emulator/test/random-days.test.ts
+++ b/packages/emulator/test/random-days.test.ts
@@ -5,7 +5,10 @@
 /** Seeds that failed once, with the cause, and one that never did. */
 const seeds = new Map([
   [1, 'no failure seen'],
-  [3, 'a job on the list of jobs that may run somewhere was submitted to the same rejecting dispatcher without end']
+  [3, 'a job on the list of jobs that may run somewhere was submitted to the same rejecting dispatcher without end'],
+  [1052, 'a takeover without the store, while the earlier dispatcher still started tasks at targets that had not seen the new token'],
+  [2019, 'a start order was on its way when its target restarted, and the new life carried it out'],
+  [2042, 'an order that a stop had barred was carried out by a new life of its target, which knew nothing of the stop']
 ])
 
 describe('random days', () => {
--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -40,6 +40,8 @@
   readonly jobs = new Map<string, JobRun>()
   /** Jobs with waiting tasks. */
   readonly queue = new Set<JobRun>()
+  /** Jobs with tasks that an earlier dispatcher may have started, nobody knows where. */
+  readonly unlocated = new Set<JobRun>()
   /** The one run of each task that may exist at a target. */
   readonly runs = new Map<string, ActiveRun>()
   readonly owners = new OwnerTable()
@@ -84,6 +86,7 @@
   removeJob (job: JobRun): void {
     this.jobs.delete(job.id)
     this.queue.delete(job)
+    this.unlocated.delete(job)
     this.#newlyDone.delete(job.id)
   }
 
@@ -133,6 +136,7 @@
 
   /** Lets tasks start whose earlier runs, if any, have surely ended. */
   releaseUnlocated (job: JobRun): void {
+    this.unlocated.delete(job)
     for (const task of job.tasks) if (task.state === 'unlocated') task.state = 'waiting'
     if (job.hasWaiting()) this.queue.add(job)
   }
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -3,6 +3,7 @@
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
 import { JobIntake } from './job-intake.js'
+import { type JobRun } from './job-run.js'
 import { parseTaskName } from './job-types.js'
 import { type FleetLimits } from './limits.js'
 import { summarizeLoad } from './load-meter.js'
@@ -53,7 +54,8 @@
   readonly #since: number
   #listed: ReadonlySet<string> = new Set()
   #token: number
-  #settled = false
+  /** Whether every target that may hold runs of an earlier dispatcher was seen under this token. */
+  #allSeen = false
   #stopped = false
   #frozen = false
   #cancelTick: (() => void) | undefined
@@ -65,7 +67,7 @@
     this.#state = new DispatchState(options.clock, options.log, options.metrics)
     this.#intake = new JobIntake(this.#state)
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#settleMessages() })
-    this.#tracker = new RunTracker(this.#state, {
+    this.#tracker = new RunTracker(this.#state, options.limits.lateOrderMs, {
       onChange: () => { this.#mailbox.schedule() },
       onSuperseded: session => { this.#handleSuperseded(session) }
     })
@@ -153,7 +155,7 @@
 
   #handleMessage (port: OwnerPort, message: OwnerMessage): void {
     switch (message.type) {
-      case 'submit': this.#intake.accept(port, message, this.#settled); break
+      case 'submit': this.#intake.accept(port, message, job => this.#isQuiet(job)); break
       case 'withdraw': this.#intake.withdraw(port, message.jobId); break
       case 'cancel': this.#intake.cancel(port, message.jobId, message.reason); break
       case 'cancel-any': this.#intake.cancelAny(port, message.jobId); break
@@ -166,23 +168,30 @@
 
   #settleMessages (): void {
     if (this.#stopped) return
-    this.#checkSettled()
+    this.#releaseQuiet()
     if (!this.#frozen) this.#scheduler.startTasks()
     this.#state.reportProgress()
   }
 
   /**
-   * After a takeover, unlocated tasks wait until every target was looked at or all earlier leases
-   * have lapsed. Entries of cut-off targets lapse, so a look at all listed ones may not be enough.
+   * After a takeover, unlocated tasks wait until every target was looked at or all runs of an
+   * earlier dispatcher have lapsed. Entries of cut-off targets lapse, so a look at all listed ones
+   * may not be enough; and an earlier dispatcher that is cut off may go on for a while, so the
+   * owners say how long theirs may.
    */
-  #checkSettled (): void {
-    if (this.#settled) return
-    const sessions = this.listSessions()
-    const isAllSeen = this.#options.isListComplete() && sessions.length > 0 && sessions.every(session => session.isSeen)
-    const longestMs = this.#options.limits.maxLeaseMs + lapseMarginMs
-    if (!isAllSeen && this.#state.now() - this.#since < longestMs) return
-    this.#settled = true
-    for (const job of this.#state.jobs.values()) this.#state.releaseUnlocated(job)
+  #releaseQuiet (): void {
+    if (!this.#allSeen) {
+      const sessions = this.listSessions()
+      this.#allSeen = this.#options.isListComplete() && sessions.length > 0 && sessions.every(session => session.isSeen)
+    }
+    for (const job of this.#state.unlocated) {
+      if (this.#isQuiet(job)) this.#state.releaseUnlocated(job)
+    }
+  }
+
+  #isQuiet (job: JobRun): boolean {
+    const lapsedAt = this.#since + this.#options.limits.maxLeaseMs + lapseMarginMs
+    return this.#allSeen || this.#state.now() >= Math.max(lapsedAt, job.quietAt)
   }
 
   #updateTarget (target: TargetInfo): void {
--- a/packages/fleet/src/domain-link.ts
+++ b/packages/fleet/src/domain-link.ts
@@ -17,6 +17,15 @@
 /** Pause in milliseconds after all addresses were tried. */
 const retryPauseMs = 60
 
+/** Time in milliseconds after the end of a dispatcher in which its leases lapse, also on slow clocks. */
+const endedDispatcherMs = 1_170
+
+/**
+ * Time in milliseconds after the loss of a dispatcher that may live on until none of its runs for
+ * this owner exists: it notices the silence, waits for the owner, and the longest lease lapses.
+ */
+export const lostDispatcherMs = 2_300
+
 /** Hears of the state of links and of the dispatchers' messages. */
 export abstract class LinkObserver {
   abstract onLinked (link: DomainLink, isNewDispatcher: boolean): void
@@ -27,6 +36,7 @@
 
 /** A dispatcher in this process, which needs no stream. */
 export abstract class LocalDispatchers {
+  abstract hasDispatcher (domain: string): boolean
   /** @returns a stream to the local dispatcher of the domain, or undefined when there is none */
   abstract open (domain: string, onMessage: (message: DispatcherMessage) => void, onClose: (reason: string) => void): PeerStream | undefined
 }
@@ -65,6 +75,10 @@
   #holder: Endpoint | undefined
   /** Whether the last try proved that the named holder's process is gone. */
   #holderGone = false
+  /** Whether the dispatcher that was lost last has surely ended. */
+  #lostHasEnded = false
+  /** When all runs of earlier dispatchers for this owner have surely ended. */
+  #quietAt = 0
   #closed = false
   #opening = false
   #cancelTimer: (() => void) | undefined
@@ -86,6 +100,11 @@
     return this.#connected ? 0 : this.#options.clock.now() - this.#lostAt
   }
 
+  /** @returns milliseconds until no run of an earlier dispatcher of the domain for this owner can exist */
+  measureQuietMs (): number {
+    return Math.max(0, this.#quietAt - this.#options.clock.now())
+  }
+
   /** @returns whether the dispatcher may still run a job that is sent again */
   isLingering (jobId: string): boolean {
     return this.#lingering.has(jobId)
@@ -150,6 +169,7 @@
       if (endpoint.incarnation === this.#options.self.incarnation) continue
       const isGone = await this.#tryEndpoint(endpoint)
       if (endpoint.incarnation === named.incarnation) this.#holderGone = isGone
+      if (isGone && endpoint.incarnation === this.#holder?.incarnation) this.#lostHasEnded = true
       if (this.#connected || this.#closed) return
       // Without a dispatcher in the domain its instances claim the row; only then successors matter.
       if (this.#openLocal()) return
@@ -158,7 +178,10 @@
 
   #openLocal (): boolean {
     const { local, domain, self } = this.#options
-    const stream = local.open(domain, message => { this.#handle(message, self) }, reason => { this.#handleClose(stream, reason) })
+    const stream = local.open(domain, message => { this.#handle(message, self) }, reason => {
+      this.#lostHasEnded = !local.hasDispatcher(domain)
+      this.#handleClose(stream, reason)
+    })
     if (stream === undefined) return false
     this.#stream = stream
     stream.send({ type: 'hello', instance: self.instance, incarnation: self.incarnation, domain })
@@ -195,6 +218,7 @@
   #handle (message: DispatcherMessage, endpoint: Endpoint): void {
     this.#heardAt = this.#options.clock.now()
     switch (message.type) {
+      case 'stopped': this.#lostHasEnded = true; return
       case 'welcome': this.#handleWelcome(message.token, endpoint); return
       case 'not-dispatching': this.#stream?.close('not dispatching'); return
       case 'configuration': this.#options.relay.offer(message, `dispatcher of ${this.domain}`); return
@@ -210,6 +234,8 @@
       return
     }
     const isNew = token !== this.#token
+    if (isNew) this.#quietAt = this.#lostAt + (this.#lostHasEnded ? endedDispatcherMs : lostDispatcherMs)
+    this.#lostHasEnded = false
     this.#connected = true
     this.#holderGone = false
     this.#token = token
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -31,9 +31,9 @@
   /**
    * Takes in a job, or attaches its owner to the job of this id.
    *
-   * @param isSettled - whether tasks without a known run have surely none
+   * @param isQuiet - decides whether tasks of the job without a known run have surely none
    */
-  accept (port: OwnerPort, submission: Submission, isSettled: boolean): void {
+  accept (port: OwnerPort, submission: Submission, isQuiet: (job: JobRun) => boolean): void {
     const state = this.#state
     const known = state.jobs.get(submission.job.id)
     if (known !== undefined) {
@@ -47,8 +47,12 @@
     }
     const job = new JobRun(submission, port.ownerId, state.now())
     if (this.#locateRuns(job)) job.started = true
+    if (this.#isBlocked(job)) {
+      port.send({ type: 'ended', jobId: job.id, outcome: { kind: 'unknown', reason: 'start-unconfirmed' } })
+      return
+    }
     if (!job.started && this.#decideRejection(port, job)) return
-    this.#addJob(port, job, isSettled)
+    this.#addJob(port, job, isQuiet(job))
   }
 
   /** Gives a job back to its owner if nothing of it has started. */
@@ -85,12 +89,13 @@
     }
   }
 
-  #addJob (port: OwnerPort, job: JobRun, isSettled: boolean): void {
+  #addJob (port: OwnerPort, job: JobRun, isQuiet: boolean): void {
     const state = this.#state
     state.jobs.set(job.id, job)
     state.owners.follow(port.ownerId)
     if (job.isComplete) state.endJob(job, { kind: 'completed' })
-    else if (isSettled) state.releaseUnlocated(job)
+    else if (isQuiet) state.releaseUnlocated(job)
+    else if (job.tasks.some(task => task.state === 'unlocated')) state.unlocated.add(job)
     else if (job.hasWaiting()) state.queue.add(job)
   }
 
@@ -124,6 +129,11 @@
     return isLocated
   }
 
+  /** @returns whether an earlier start of a task may still be carried out, so that the task may not start now */
+  #isBlocked (job: JobRun): boolean {
+    return job.tasks.some(task => this.#state.runs.get(task.name)?.run.unconfirmed === true)
+  }
+
   /** @returns whether the job was rejected */
   #decideRejection (port: OwnerPort, job: JobRun): boolean {
     if (this.#closed) return this.#reject(port, job, 'stopping', shortestRetryMs, {})
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -1,6 +1,6 @@
 import { type Clock } from '@sesamereel/coordination'
 import { canTakeWaiting, chooseDomain } from './domain-choice.js'
-import { type DomainLink, LinkObserver } from './domain-link.js'
+import { type DomainLink, LinkObserver, lostDispatcherMs } from './domain-link.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
 import { type JobOutcome, type JobSpec, type RejectionReason } from './job-types.js'
@@ -14,12 +14,6 @@
 /** Shortest time in milliseconds that a job waits at a dispatcher before another domain may take it. */
 const moveAfterMs = 15
 
-/**
- * Time in milliseconds after the loss of a dispatcher after which nothing of its jobs runs any
- * more, even if it lives: silence, grace for owners, and the longest lease.
- */
-const lostDispatcherMs = 2_300
-
 /** Retry time in milliseconds told to a caller while no dispatcher is connected. */
 const noDispatcherRetryMs = 500
 
@@ -168,7 +162,7 @@
   #handleEnded (link: DomainLink, jobId: string, outcome: JobOutcome): void {
     const job = this.#find(jobId, link)
     if (job === undefined) return
-    this.#answer(job, outcome.kind === 'completed' ? outcome : { kind: 'failed', reason: outcome.reason })
+    this.#answer(job, outcome)
   }
 
   /** @returns the job if it is at the link's dispatcher */
@@ -196,9 +190,10 @@
     const now = this.#options.clock.now()
     job.place = { kind: 'submitted', domain: link.domain, at: now }
     const { load } = link
-    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, domain: link.domain, resubmitted, ageMs: Math.round(now - job.acceptedAt), token: link.token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs })
+    const quietInMs = resubmitted ? Math.round(link.measureQuietMs()) : 0
+    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, domain: link.domain, resubmitted, quietInMs, ageMs: Math.round(now - job.acceptedAt), token: link.token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs })
     link.noteSubmitted(job.need.processors)
-    link.send({ type: 'submit', job: job.spec, ageMs: now - job.acceptedAt, resubmitted, done: [...job.done] })
+    link.send({ type: 'submit', job: job.spec, ageMs: now - job.acceptedAt, resubmitted, quietInMs, done: [...job.done] })
   }
 
   #handleRejection (link: DomainLink, jobId: string, reason: RejectionReason, retryAfterMs: number): void {
--- a/packages/fleet/src/job-run.ts
+++ b/packages/fleet/src/job-run.ts
@@ -27,6 +27,8 @@
   readonly objectiveAt: number
   readonly usefulAt: number
   readonly receivedAt: number
+  /** When runs that an earlier dispatcher started have surely ended. */
+  readonly quietAt: number
   readonly tasks: readonly TaskRecord[]
   ownerId: string
   /** Whether a start order was sent for the job, here or by an earlier dispatcher. */
@@ -41,6 +43,7 @@
     this.spec = job
     this.ownerId = ownerId
     this.receivedAt = now
+    this.quietAt = now + submission.quietInMs
     this.acceptedAt = now - submission.ageMs
     this.objectiveAt = this.acceptedAt + job.objectiveMs
     this.usefulAt = this.acceptedAt + job.usefulMs
--- a/packages/fleet/src/job-types.ts
+++ b/packages/fleet/src/job-types.ts
@@ -37,6 +37,8 @@
 export type JobOutcome =
   | { readonly kind: 'completed' }
   | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' }
+  /** Tasks may have started, and the job does not go on. */
+  | { readonly kind: 'unknown', readonly reason: 'start-unconfirmed' }
 
 /** Why a job was not accepted by a dispatcher. */
 export type RejectionReason = 'overloaded' | 'not-dispatching' | 'stopping' | 'no-target' | 'fits-no-target'
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -7,6 +7,8 @@
   readonly ageMs: number
   /** Whether the job may have been started under an earlier dispatcher of the domain. */
   readonly resubmitted: boolean
+  /** Time in milliseconds after which no run of the job that an earlier dispatcher started exists. */
+  readonly quietInMs: number
   /** Tasks that have ended `done`, by index over all steps. */
   readonly done: readonly number[]
 }
@@ -38,6 +40,8 @@
 /** Messages of a dispatcher to an owner. */
 export type DispatcherMessage =
   | { readonly type: 'welcome', readonly token: number }
+  /** The dispatcher gives no more orders and extends no leases. */
+  | { readonly type: 'stopped' }
   | { readonly type: 'not-dispatching', readonly incarnation: string }
   | { readonly type: 'pong', readonly load: LoadDigest, readonly lingering?: readonly string[], readonly configurationVersion: number }
   | { readonly type: 'started', readonly jobIds: readonly string[] }
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -62,7 +62,11 @@
   /** Ends the ports of a dispatcher that has stopped, so that its owners look for the next one. */
   removeDispatcher (dispatcher: Dispatcher, reason: string): void {
     this.#dispatchers.delete(dispatcher.domain)
-    for (const [port, domain] of [...this.#ports]) if (domain === dispatcher.domain) port.close(reason)
+    for (const [port, domain] of [...this.#ports]) {
+      if (domain !== dispatcher.domain) continue
+      port.send({ type: 'stopped' })
+      port.close(reason)
+    }
   }
 
   listDispatchers (): readonly Dispatcher[] {
@@ -73,6 +77,10 @@
     return this.#dispatchers.get(domain)
   }
 
+  override hasDispatcher (domain: string): boolean {
+    return this.#dispatchers.has(domain)
+  }
+
   /** Sends a message to the owners of a domain's dispatcher at one instance. */
   notifyInstance (domain: string, instance: string, message: DispatcherMessage): boolean {
     let isSent = false
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -1,8 +1,9 @@
 import { type DispatchState } from './dispatch-state.js'
 import { type JobRun, type TaskRecord } from './job-run.js'
 import { parseTaskName } from './job-types.js'
-import { type Run } from './run.js'
-import { type LossReason, SessionObserver, type TargetChange, type TargetSession } from './target-session.js'
+import { type LossReason, type Run } from './run.js'
+import { SessionObserver, type TargetChange } from './session-observer.js'
+import { type TargetSession } from './target-session.js'
 import { type EndKind, type StartRejection } from './target-types.js'
 
 /** Shortest time in milliseconds without progress, over several looks, after which a run counts as stalled. */
@@ -34,10 +35,13 @@
 export class RunTracker extends SessionObserver {
   readonly #state: DispatchState
   readonly #events: TrackerEvents
+  readonly #lateOrderMs: number
 
-  constructor (state: DispatchState, events: TrackerEvents) {
+  /** @param lateOrderMs - time after which an order without an answer is surely not carried out */
+  constructor (state: DispatchState, lateOrderMs: number, events: TrackerEvents) {
     super()
     this.#state = state
+    this.#lateOrderMs = lateOrderMs
     this.#events = events
   }
 
@@ -68,6 +72,13 @@
     this.#events.onChange()
   }
 
+  /** Ends a job that cannot be completed in time, as its task may not start elsewhere for now. */
+  override onUnconfirmed (session: TargetSession, run: Run): void {
+    const { job } = this.#state.findTask(run.task)
+    this.#state.log('order', 'start-unconfirmed', { job: job?.id, task: run.task, attempt: run.attempt, target: session.info.id, sentMsAgo: Math.round(this.#state.now() - run.sentAt) })
+    if (job !== undefined && job.usefulAt < run.sentAt + this.#lateOrderMs) this.#state.endJob(job, { kind: 'unknown', reason: 'start-unconfirmed' })
+  }
+
   override onFound (session: TargetSession, run: Run): void {
     const { job, task } = this.#state.findTask(run.task)
     if (this.#state.runs.has(run.task) || task?.state === 'done') {
--- a/packages/fleet/src/run.ts
+++ b/packages/fleet/src/run.ts
@@ -14,10 +14,12 @@
   readonly sentAt: number
   acceptedAt: number | undefined
   stopAcceptedAt: number | undefined
-  /** Deadline of the start on the target's clock. */
-  readonly deadline: number
+  /** Deadline of the start on the clock of the target's life that it was sent to; infinite in a later life. */
+  deadline: number
   /** Whether the start order got no answer and it is not known yet whether the target has it. */
   unanswered: boolean
+  /** Whether the target is out of reach and might still carry out the start order in a new life. */
+  unconfirmed: boolean
   percent: number
   /** When `percent` last rose. */
   progressAt: number
@@ -29,3 +31,20 @@
 export function formatRunKey (task: string, attempt: number): string {
   return `${task}#${attempt}`
 }
+
+/** Why a run is gone without an end in the target's list. */
+export type LossReason = 'lapsed' | 'restarted' | 'never-started' | 'not-listed'
+
+/**
+ * Decides whether a run that a view doesn't list is surely not at the target.
+ *
+ * @param viewClock - the target's clock when it replied
+ * @param sentAt - local time at which the look was sent
+ * @returns undefined when the view may be older than the run
+ */
+export function judgeMissing (run: Run, viewClock: number, sentAt: number): LossReason | undefined {
+  if (run.acceptedAt !== undefined && run.acceptedAt <= sentAt) return 'not-listed'
+  if (run.stopAcceptedAt !== undefined && run.stopAcceptedAt <= sentAt) return 'never-started'
+  if (run.acceptedAt === undefined && viewClock > run.deadline && run.sentAt < sentAt) return 'never-started'
+  return undefined
+}
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -1,10 +1,13 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type Demand } from '@sesamereel/state'
 import { type FleetLimits } from './limits.js'
-import { formatRunKey, type Run } from './run.js'
+import { ReservedRoom } from './reserved-room.js'
+import { formatRunKey, judgeMissing, type LossReason, type Run } from './run.js'
+import { type SessionObserver } from './session-observer.js'
 import { TargetClock } from './target-clock.js'
 import { TargetHealth } from './target-health.js'
-import { type EndKind, type LookReply, type StartRejection, type TargetConnection, type TargetInfo, type TargetView } from './target-types.js'
+import { type LookReply, type TargetConnection, type TargetInfo, type TargetView } from './target-types.js'
+import { type StartIdentity, UnansweredOrders } from './unanswered-orders.js'
 
 /** Time in milliseconds that a target has to answer a start or stop; a round trip takes about one. */
 const orderTimeoutMs = 150
@@ -28,30 +31,6 @@
 /** Ended runs that are remembered, so that an older view that arrives late doesn't bring them back. */
 const rememberedEnds = 256
 
-/** Why a run is gone without an end in the target's list. */
-export type LossReason = 'lapsed' | 'restarted' | 'never-started' | 'not-listed'
-
-/** `looked`: a fresh view came, and room may have changed. */
-export type TargetChange = 'seen' | 'silent' | 'regained' | 'restarted' | 'looked'
-
-/** What a session tells its dispatcher; a dispatcher handles it at once and starts nothing from inside. */
-export abstract class SessionObserver {
-  abstract onAccepted (session: TargetSession, run: Run, tookMs: number): void
-  abstract onRejected (session: TargetSession, run: Run, reason: StartRejection | 'not-sent'): void
-  abstract onEnded (session: TargetSession, run: Run, how: EndKind): void
-  abstract onLost (session: TargetSession, run: Run, reason: LossReason): void
-  /** A run that this session did not start is running. */
-  abstract onFound (session: TargetSession, run: Run): void
-  /** A run that this session does not know has ended. */
-  abstract onUnknownEnd (session: TargetSession, task: string, how: EndKind): void
-  /** The target follows a higher token. */
-  abstract onSuperseded (session: TargetSession): void
-  /** An error that the session did not expect. */
-  abstract onFault (error: unknown): void
-  /** The target was seen, lost or regained; room may have changed. */
-  abstract onChanged (session: TargetSession, change: TargetChange): void
-}
-
 /**
  * One target as its dispatcher sees it: the runs there, their leases, the room that is reserved.
  * Room stays reserved until the end of a run is listed, barred or lapsed, and each of these comes
@@ -73,13 +52,16 @@
   #silent = false
   #closed = false
   #unanswered = 0
+  readonly #unansweredOrders: UnansweredOrders
+  /** Orders to earlier lives that this life must be told not to carry out. */
+  #unbarredOrders = 0
   /** Keys of the runs that ended last, in the order of their ends. */
   readonly #endedKeys = new Set<string>()
   #retryMs = firstRetryMs
   #isLookingNow = false
   #viewedAt = -Infinity
   #cancelRetry: (() => void) | undefined
-  #used = { processors: 0, memoryMb: 0, accelerators: 0 }
+  readonly #reserved = new ReservedRoom()
   /** Runs whose room is not known; while there are any, the target counts as full. */
   #unknownRuns = 0
 
@@ -90,6 +72,7 @@
     this.#clock = clock
     this.#limits = limits
     this.#observer = observer
+    this.#unansweredOrders = new UnansweredOrders(limits.lateOrderMs)
   }
 
   get info (): TargetInfo { return this.#info }
@@ -104,12 +87,7 @@
 
   /** @returns room that no run occupies */
   get free (): Demand {
-    const { capacity } = this.#info
-    return {
-      processors: capacity.processors - this.#used.processors,
-      memoryMb: capacity.memoryMb - this.#used.memoryMb,
-      accelerators: capacity.accelerators - this.#used.accelerators
-    }
+    return this.#reserved.measureFree(this.#info.capacity)
   }
 
   /** Takes over a newer list entry of the same target. */
@@ -132,16 +110,16 @@
   /** Decides whether new runs may start here, apart from the room that they need. */
   isUsable (now: number): boolean {
     return this.#seen && !this.#silent && !this.#closed && !this.#info.draining &&
-      this.#unknownRuns === 0 && this.#unanswered === 0 && this.health.isStartAllowed(now, this.runs.size)
+      this.#unknownRuns === 0 && this.#unanswered === 0 && this.#unbarredOrders === 0 && this.health.isStartAllowed(now, this.runs.size)
   }
 
   /** Sends the order to start a run; the observer hears what became of it. */
   startRun (task: string, attempt: number, payload: string, demand: Demand): Run {
     const now = this.#clock.now()
     const deadline = (this.#targetClock.estimateLower(now) ?? 0) + startWindowMs
-    const run: Run = { task, attempt, demand, state: 'starting', sentAt: now, acceptedAt: undefined, stopAcceptedAt: undefined, deadline, unanswered: false, percent: 0, progressAt: now, stopSentAt: -Infinity }
+    const run: Run = { task, attempt, demand, state: 'starting', sentAt: now, acceptedAt: undefined, stopAcceptedAt: undefined, deadline, unanswered: false, unconfirmed: false, percent: 0, progressAt: now, stopSentAt: -Infinity }
     this.runs.set(formatRunKey(task, attempt), run)
-    this.#occupy(demand, 1)
+    this.#reserved.add(demand)
     this.#targetClock.recordLease(deadline)
     this.#sendStart(run, payload).catch((error: unknown) => { this.#observer.onFault(error) })
     return run
@@ -159,7 +137,7 @@
     if (run.demand !== undefined) return
     run.demand = demand
     this.#unknownRuns--
-    this.#occupy(demand, 1)
+    this.#reserved.add(demand)
   }
 
   /** Looks at once, beside the look that may be waiting. */
@@ -186,6 +164,7 @@
         // The order may still be carried out: a stop bars the run, or its deadline does.
         run.unanswered = true
         this.#unanswered++
+        this.#unansweredOrders.note(run)
         this.stopRun(run)
         return
       case 'not-sent':
@@ -245,19 +224,26 @@
       this.#observer.onSuperseded(this)
       return false
     }
-    if (reply.kind === 'rejected' && reply.reason === 'other-incarnation') this.#forgetLife('restarted')
+    if (reply.kind === 'rejected' && reply.reason === 'other-incarnation') {
+      // The orders named the other incarnation, so this one carries out none of them.
+      this.#forgetLife()
+      this.#loseAll('restarted')
+    }
     if (!this.#silent && this.#seen) {
       this.#silent = true
       this.#observer.onChanged(this, 'silent')
     }
-    if (this.#targetClock.hasLapsed(now)) this.#loseAll('lapsed')
+    if (this.#targetClock.hasLapsed(now)) this.#loseLapsed(now)
     return false
   }
 
   #handleView (view: TargetView, sentAt: number, now: number): void {
     if (view.bornMs !== undefined && this.#bornMs !== undefined && view.bornMs !== this.#bornMs) {
       if (view.bornMs < this.#bornMs) return
-      this.#forgetLife('restarted')
+      const { bornMs } = view
+      this.#forgetLife()
+      this.#bornMs = bornMs
+      this.#loseEarlierLife()
       this.#observer.onChanged(this, 'restarted')
     }
     this.#bornMs = view.bornMs ?? this.#bornMs
@@ -315,7 +301,7 @@
   }
 
   #addFound (task: string, attempt: number, percent: number, now: number): void {
-    const run: Run = { task, attempt, demand: undefined, state: 'running', sentAt: now, acceptedAt: now, stopAcceptedAt: undefined, deadline: 0, unanswered: false, percent, progressAt: now, stopSentAt: -Infinity }
+    const run: Run = { task, attempt, demand: undefined, state: 'running', sentAt: now, acceptedAt: now, stopAcceptedAt: undefined, deadline: 0, unanswered: false, unconfirmed: false, percent, progressAt: now, stopSentAt: -Infinity }
     this.runs.set(formatRunKey(task, attempt), run)
     this.#unknownRuns++
     this.#observer.onFound(this, run)
@@ -326,54 +312,81 @@
     if (this.runs.size === 0) return
     const listed = new Set(view.running.map(entry => formatRunKey(entry.task, entry.attempt)))
     for (const [key, run] of [...this.runs]) {
-      if (listed.has(key)) {
-        if (run.state === 'stopping' && run.stopAcceptedAt === undefined && now - run.stopSentAt > stopRetryMs) this.#sendStop(run).catch((error: unknown) => { this.#observer.onFault(error) })
-        continue
-      }
-      const reason = judgeMissing(run, view.clock, sentAt)
-      if (reason === undefined) continue
-      this.#remove(run)
-      this.#observer.onLost(this, run, reason)
+      const reason = listed.has(key) ? undefined : judgeMissing(run, view.clock, sentAt)
+      if (reason !== undefined) this.#lose(run, reason)
+      else if (run.state === 'stopping' && run.stopAcceptedAt === undefined && now - run.stopSentAt > stopRetryMs) this.#sendStop(run).catch((error: unknown) => { this.#observer.onFault(error) })
     }
   }
 
-  #forgetLife (reason: LossReason): void {
+  #forgetLife (): void {
     this.#lastSeen = 0
     this.#endedKeys.clear()
     this.#bornMs = undefined
     this.#seen = false
     this.#targetClock.reset()
-    for (const run of this.runs.values()) {
-      // The order may still reach the new life, whose clock says nothing about the old deadline.
-      if (run.unanswered) this.#connection.stop({ task: run.task, attempt: run.attempt, token: this.#token() }, orderTimeoutMs).catch((error: unknown) => { this.#observer.onFault(error) })
+  }
+
+  /** Gives up what ran in the earlier life, and bars in the new one what may still arrive there. */
+  #loseEarlierLife (): void {
+    for (const run of [...this.runs.values()]) {
+      if (run.acceptedAt !== undefined && run.acceptedAt <= this.#viewedAt) this.#lose(run, 'restarted')
+      else this.#barInNewLife(run)
     }
-    this.#loseAll(reason)
+    const orders = this.#unansweredOrders.list(this.#clock.now()).filter(order => !this.runs.has(formatRunKey(order.task, order.attempt)))
+    for (const order of orders) this.#barOrder(order, this.#bornMs).catch((error: unknown) => { this.#observer.onFault(error) })
   }
 
-  #loseAll (reason: LossReason): void {
+  /** Stops a run whose start order may have reached either life. */
+  #barInNewLife (run: Run): void {
+    run.state = 'stopping'
+    run.deadline = Infinity
+    run.stopAcceptedAt = undefined
+    this.#sendStop(run).catch((error: unknown) => { this.#observer.onFault(error) })
+  }
+
+  async #barOrder (order: StartIdentity, bornMs: number | undefined): Promise<void> {
+    this.#unbarredOrders++
+    while (!this.#closed && this.#bornMs === bornMs) {
+      const reply = await this.#connection.stop({ ...order, token: this.#token() }, orderTimeoutMs)
+      if (reply.kind === 'accepted' || reply.kind === 'rejected') break
+      await new Promise<void>(resolve => { this.#clock.startTimer(stopRetryMs, resolve) })
+    }
+    this.#unbarredOrders--
+    if (!this.#closed) this.#observer.onChanged(this, 'looked')
+  }
+
+  /** Gives up runs whose leases have ended, but for those that a new life may still begin. */
+  #loseLapsed (now: number): void {
     for (const run of [...this.runs.values()]) {
-      this.#remove(run)
-      this.#observer.onLost(this, run, reason)
+      if (run.acceptedAt !== undefined || now - run.sentAt > this.#limits.lateOrderMs) {
+        this.#lose(run, 'lapsed')
+      } else if (!run.unconfirmed) {
+        run.unconfirmed = true
+        this.#observer.onUnconfirmed(this, run)
+      }
     }
   }
 
+  #loseAll (reason: LossReason): void {
+    for (const run of [...this.runs.values()]) this.#lose(run, reason)
+  }
+
+  #lose (run: Run, reason: LossReason): void {
+    this.#remove(run)
+    this.#observer.onLost(this, run, reason)
+  }
+
   #remove (run: Run): void {
     if (!this.runs.delete(formatRunKey(run.task, run.attempt))) return
     if (run.unanswered) this.#unanswered--
     if (run.demand === undefined) this.#unknownRuns--
-    else this.#occupy(run.demand, -1)
+    else this.#reserved.release(run.demand)
   }
 
   #isCurrent (run: Run): boolean {
     return this.runs.get(formatRunKey(run.task, run.attempt)) === run
   }
 
-  #occupy (demand: Demand, sign: 1 | -1): void {
-    this.#used.processors += sign * demand.processors
-    this.#used.memoryMb += sign * demand.memoryMb
-    this.#used.accelerators += sign * demand.accelerators
-  }
-
   async #pause (ms: number): Promise<void> {
     await new Promise<void>(resolve => {
       const cancel = this.#clock.startTimer(ms, resolve)
@@ -381,17 +394,3 @@
     })
   }
 }
-
-/**
- * Decides whether a run that a view doesn't list is surely not at the target.
- *
- * @param viewClock - the target's clock when it replied
- * @param sentAt - local time at which the look was sent
- * @returns undefined when the view may be older than the run
- */
-export function judgeMissing (run: Run, viewClock: number, sentAt: number): LossReason | undefined {
-  if (run.acceptedAt !== undefined && run.acceptedAt <= sentAt) return 'not-listed'
-  if (run.stopAcceptedAt !== undefined && run.stopAcceptedAt <= sentAt) return 'never-started'
-  if (run.acceptedAt === undefined && viewClock > run.deadline && run.sentAt < sentAt) return 'never-started'
-  return undefined
-}
--- a/packages/fleet/test/decisions.test.ts
+++ b/packages/fleet/test/decisions.test.ts
@@ -131,7 +131,7 @@
 })
 
 describe('a run that a view does not list', () => {
-  const run: Run = { task: 't', attempt: 1, demand: undefined, state: 'starting', sentAt: 100, acceptedAt: undefined, stopAcceptedAt: undefined, deadline: 5_000, unanswered: true, percent: 0, progressAt: 100, stopSentAt: 0 }
+  const run: Run = { task: 't', attempt: 1, demand: undefined, state: 'starting', sentAt: 100, acceptedAt: undefined, stopAcceptedAt: undefined, deadline: 5_000, unanswered: true, unconfirmed: false, percent: 0, progressAt: 100, stopSentAt: 0 }
 
   it('may still start before its deadline', () => {
     assert.equal(judgeMissing(run, 4_900, 200), undefined)
--- a/packages/fleet/test/job-owner.test.ts
+++ b/packages/fleet/test/job-owner.test.ts
@@ -23,6 +23,7 @@
 
   isLingering (jobId: string): boolean { return jobId === this.lingering }
   measureLostMs (): number { return this.lostMs }
+  measureQuietMs (): number { return 0 }
   noteSubmitted (): void {}
   send (message: OwnerMessage): void { this.sent.push(message) }
 
--- a/packages/fleet/test/target-session.test.ts
+++ b/packages/fleet/test/target-session.test.ts
@@ -1,18 +1,28 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { ManualClock, runMessages } from '@sesamereel/coordination'
-import { defaultFleetLimits, type LookReply, type Run, SessionObserver, type StartReply, type StopReply, type TargetConnection, type TargetInfo, TargetSession, type TargetView } from '../src/index.js'
+import { defaultFleetLimits, type LookReply, type Run, SessionObserver, type StartReply, type StopOrder, type StopReply, type TargetConnection, type TargetInfo, TargetSession, type TargetView } from '../src/index.js'
 
 const info: TargetInfo = { id: 't', address: 't', service: 's', domain: 'a', draining: false, capacity: { processors: 32_000, memoryMb: 100, accelerators: 0 }, labels: [], revision: 1 }
 
 const demand = { processors: 14_000, memoryMb: 1, accelerators: 0 }
 
-/** A connection whose looks are answered by the test, in any order. */
+/** A connection whose looks, and starts if asked, are answered by the test, in any order. */
 class ScriptedConnection implements TargetConnection {
   readonly looks: Array<(reply: LookReply) => void> = []
+  readonly starts: Array<(reply: StartReply) => void> = []
+  readonly stops: StopOrder[] = []
+  startsWait = false
+
+  async start (): Promise<StartReply> {
+    return this.startsWait ? await new Promise(resolve => { this.starts.push(resolve) }) : { kind: 'accepted' }
+  }
+
+  async stop (order: StopOrder): Promise<StopReply> {
+    this.stops.push(order)
+    return { kind: 'accepted' }
+  }
 
-  async start (): Promise<StartReply> { return { kind: 'accepted' } }
-  async stop (): Promise<StopReply> { return { kind: 'accepted' } }
   async look (): Promise<LookReply> { return await new Promise(resolve => { this.looks.push(resolve) }) }
   close (): void {}
 }
@@ -24,6 +34,7 @@
   override onRejected (): void { this.events.push('rejected') }
   override onEnded (session: TargetSession, run: Run, how: string): void { this.events.push(`ended ${how}`) }
   override onLost (session: TargetSession, run: Run, reason: string): void { this.events.push(`lost ${reason}`) }
+  override onUnconfirmed (): void { this.events.push('unconfirmed') }
   override onFound (): void { this.events.push('found') }
   override onUnknownEnd (): void {}
   override onSuperseded (): void {}
@@ -31,8 +42,28 @@
   override onChanged (): void {}
 }
 
-function createView (clock: number, running: TargetView['running'], ended: TargetView['ended']): LookReply {
-  return { kind: 'view', view: { clock, bornMs: 1, running, ended } }
+function createView (clock: number, running: TargetView['running'], ended: TargetView['ended'], bornMs = 1): LookReply {
+  return { kind: 'view', view: { clock, bornMs, running, ended } }
+}
+
+interface SessionFixture {
+  readonly clock: ManualClock
+  readonly connection: ScriptedConnection
+  readonly observer: RecordingObserver
+  readonly session: TargetSession
+}
+
+/** Starts a session that has seen its target, whose clock shows 100, and whose starts wait for the test. */
+async function startSession (): Promise<SessionFixture> {
+  const clock = new ManualClock()
+  const connection = new ScriptedConnection()
+  const observer = new RecordingObserver()
+  const session = new TargetSession(info, connection, () => 16, clock, defaultFleetLimits, observer)
+  session.start()
+  connection.looks.shift()!(createView(100, [], []))
+  connection.startsWait = true
+  await clock.advance(1)
+  return { clock, connection, observer, session }
 }
 
 describe('a target session', () => {
@@ -56,4 +87,54 @@
     assert.deepEqual(observer.events, ['ended done'])
     assert.equal(session.runs.size, 0)
   })
+
+  it('keeps a task whose start order is on its way when the target restarts, until the new life bars it', async () => {
+    const { clock, connection, observer, session } = await startSession()
+    session.startRun('job.0.0.0', 1, '', demand)
+    await clock.advance(1)
+    connection.looks.shift()!(createView(0, [], [], 2))
+    await clock.advance(1)
+    assert.deepEqual(observer.events, [])
+    assert.deepEqual(connection.stops.map(stop => stop.task), ['job.0.0.0'])
+    connection.looks.shift()!(createView(3, [], [], 2))
+    await clock.advance(1)
+    session.close()
+    assert.deepEqual(observer.events, ['lost never-started'])
+  })
+
+  it('bars orders to an earlier life that got no answer, before it uses the new life', async () => {
+    const { clock, connection, observer, session } = await startSession()
+    session.startRun('job.0.0.0', 1, '', demand)
+    connection.starts.shift()!({ kind: 'no-answer', message: 'no reply' })
+    await clock.advance(1)
+    // The look that waited says nothing about the stop; the one that was sent after it does.
+    for (let count = 0; count < 2; count++) {
+      for (const reply of connection.looks.splice(0)) reply(createView(110, [], []))
+      await clock.advance(1)
+    }
+    assert.deepEqual(observer.events, ['lost never-started'])
+    const stopsBefore = connection.stops.length
+    connection.looks.shift()!(createView(0, [], [], 2))
+    assert.equal(session.isUsable(clock.now()), true)
+    await runMessages()
+    session.close()
+    assert.deepEqual(connection.stops.slice(stopsBefore).map(stop => stop.task), ['job.0.0.0'])
+  })
+
+  it('does not give up a start without an answer while its target is out of reach and may restart', async () => {
+    const { clock, connection, observer, session } = await startSession()
+    session.startRun('job.0.0.0', 1, '', demand)
+    connection.starts.shift()!({ kind: 'no-answer', message: 'no reply' })
+    for (let elapsed = 0; elapsed < 5_000; elapsed += 50) {
+      for (const reply of connection.looks.splice(0)) reply({ kind: 'no-answer', message: 'no reply' })
+      await clock.advance(50)
+    }
+    assert.deepEqual(observer.events, ['unconfirmed'])
+    for (let elapsed = 0; elapsed < 9_000; elapsed += 50) {
+      for (const reply of connection.looks.splice(0)) reply({ kind: 'no-answer', message: 'no reply' })
+      await clock.advance(50)
+    }
+    session.close()
+    assert.deepEqual(observer.events, ['unconfirmed', 'lost lapsed'])
+  })
 })
