--- a/packages/fleet/src/candidacy.ts
+++ b/packages/fleet/src/candidacy.ts
@@ -57,6 +57,8 @@
     return lostMs >= offlineClaimMs + successorRank * rankStepMs ? 'take-over-without-store' : 'wait'
   }
   if (self.domain !== domain) return lostMs >= foreignClaimMs ? 'claim' : 'wait'
+  // An earlier process of this instance held the domain, so nobody needs to wait for it.
+  if (lostHolder === self.instance) return 'claim'
   const ranked = rankInstances(members.filter(entry => entry.instance !== lostHolder || entry.instance === self.instance))
   const rank = Math.max(0, ranked.findIndex(entry => entry.instance === self.instance))
   return lostMs >= firstClaimMs + rank * rankStepMs ? 'claim' : 'wait'
--- a/packages/fleet/test/decisions.test.ts
+++ b/packages/fleet/test/decisions.test.ts
@@ -93,6 +93,11 @@
     assert.equal(decideCandidacy({ ...inputs, lostMs: 400 }), 'claim')
   })
 
+  it('do not wait when an earlier process of their own instance was the holder', () => {
+    assert.equal(decideCandidacy({ ...inputs, lostMs: 5, lostHolder: 'weak' }), 'claim')
+    assert.equal(decideCandidacy({ ...inputs, lostMs: 5, lostHolder: 'strong' }), 'wait')
+  })
+
   it('of another domain wait longer', () => {
     const foreign = createEntry('foreign', 4, 0, 'b')
     assert.equal(decideCandidacy({ ...inputs, self: foreign, lostMs: 1_500 }), 'wait')
