--- a/packages/fleet/src/queue-order.ts
+++ b/packages/fleet/src/queue-order.ts
@@ -8,8 +8,6 @@
   readonly acceptedAt: number
   /** Time that the job's waiting work still needs once it starts. */
   readonly remainingMs: number
-  /** Whether tasks of the job have started. */
-  readonly started: boolean
 }
 
 /** Whether a job can still be answered on time, late, or only too late to be of use. */
@@ -45,6 +43,6 @@
 export function sortQueue<J extends QueuedJob> (jobs: readonly J[], now: number): J[] {
   return jobs
     .map(job => ({ job, rank: urgencyRank[judgeUrgency(job, now)] }))
-    .sort((a, b) => a.rank - b.rank || Number(b.job.started) - Number(a.job.started) || compareJobs(a.job, b.job))
+    .sort((a, b) => a.rank - b.rank || compareJobs(a.job, b.job))
     .map(entry => entry.job)
 }
