Judge queued jobs again by what goes before them now; measure predicted beside real waits

Change: at each check a queued job that has not started is rejected as soon as the work before it leaves no useful time, by the estimate that admission uses. The wait that admission expects and the real one are histograms of one metric.

--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -1,12 +1,12 @@
-import { decideAdmission } from './admission.js'
+import { decideAdmission, listHopeless } from './admission.js'
 import { type DispatchState } from './dispatch-state.js'
 import { JobRun } from './job-run.js'
 import { type RejectionReason } from './job-types.js'
-import { estimateLoad, estimateRate, sumWaitingWork, summarizeLoad } from './load-meter.js'
+import { estimateLoad, estimateRate, sumWaitingWork } from './load-meter.js'
 import { type Submission } from './messages.js'
 import { type OwnerPort } from './owner-table.js'
 import { isEligible } from './placement.js'
-import { judgeUrgency } from './queue-order.js'
+import { sortQueue } from './queue-order.js'
 
 /** Retry time in milliseconds for a job that no target can hold now. */
 const unfitRetryMs = 1_000
@@ -76,19 +76,29 @@
     port.send({ type: 'cancelled-any', jobId, found: job !== undefined })
   }
 
-  /** Rejects queued jobs that can't be of use any more and have not started. */
+  /**
+   * Rejects queued jobs that have not started and can't be of use any more, also because of what
+   * goes before them by now: after their admission more urgent jobs came, or targets were lost.
+   */
   rejectHopeless (now: number): void {
-    const { queue, owners, sessions } = this.#state
-    for (const job of [...queue]) {
-      if (job.started || judgeUrgency(job, now) !== 'useless') continue
-      this.#state.removeJob(job)
-      const { waitMs } = summarizeLoad(sessions.values(), [...queue], now)
-      const retryAfterMs = Math.max(shortestRetryMs, waitMs)
-      owners.send(job.ownerId, { type: 'rejected', jobId: job.id, reason: 'overloaded', retryAfterMs })
-      this.#state.log('job', 'job-rejected', { job: job.id, reason: 'waited-too-long', retryAfterMs, waitedMs: Math.round(now - job.acceptedAt), queued: queue.size })
+    const { queue, sessions } = this.#state
+    if (queue.size === 0) return
+    const sorted = sortQueue([...queue], now)
+    for (const service of new Set(sorted.map(job => job.spec.service))) {
+      const ratePerMs = estimateRate(sessions.values(), service)
+      const jobs = sorted.filter(job => job.spec.service === service)
+      for (const { job, waitMs } of listHopeless(jobs, sumWaitingWork, ratePerMs, now)) this.#rejectQueued(job, waitMs, now)
     }
   }
 
+  #rejectQueued (job: JobRun, waitMs: number, now: number): void {
+    const { queue, owners } = this.#state
+    this.#state.removeJob(job)
+    const retryAfterMs = Math.max(shortestRetryMs, Math.round(Math.min(waitMs, unfitRetryMs)))
+    owners.send(job.ownerId, { type: 'rejected', jobId: job.id, reason: 'overloaded', retryAfterMs })
+    this.#state.log('job', 'job-rejected', { job: job.id, reason: 'waited-too-long', retryAfterMs, waitMs: Math.round(waitMs), waitedMs: Math.round(now - job.acceptedAt), usefulMs: Math.round(job.usefulAt - now), queued: queue.size })
+  }
+
   #addJob (port: OwnerPort, job: JobRun, isQuiet: boolean): void {
     const state = this.#state
     state.jobs.set(job.id, job)
@@ -148,7 +158,8 @@
     const decision = decideAdmission(load, job.remainingMs + ownMs, job.usefulAt - now)
     const inputs = { predictedMs: Math.round(decision.predictedMs), usefulMs: Math.round(job.usefulAt - now), queued: queue.size, rate: Math.round(rate) }
     if (decision.kind === 'reject') return this.#reject(port, job, 'overloaded', decision.retryAfterMs, inputs)
-    this.#state.log('job', 'job-admitted', { job: job.id, ...inputs })
+    job.predictedWaitMs = decision.waitMs
+    this.#state.log('job', 'job-admitted', { job: job.id, ...inputs, waitMs: Math.round(decision.waitMs) })
     return false
   }
 
--- a/packages/fleet/src/job-run.ts
+++ b/packages/fleet/src/job-run.ts
@@ -33,6 +33,8 @@
   ownerId: string
   /** Whether a start order was sent for the job, here or by an earlier dispatcher. */
   started: boolean
+  /** Wait for the first start that the admission expected, in milliseconds; 0 for adopted jobs. */
+  predictedWaitMs = 0
   readonly #undone: number[]
   /** Position of the first task of each step. */
   readonly #offsets: readonly number[]
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -13,6 +13,8 @@
   readonly #answers = this.#count('answers_total', 'Answers to callers by outcome and reason', ['outcome', 'reason'])
   readonly #storeCalls = this.#count('store_calls_total', 'Calls to the store by call and result', ['call', 'result'])
   readonly #startSeconds = this.#observe('start_seconds', 'Time from a start order to the answer', ['answer'])
+  readonly #superseded = this.#count('superseded_total', 'Targets that showed a higher token than the dispatcher\'s', [])
+  readonly #waitSeconds = this.#observe('wait_seconds', 'Time from acceptance to the first start, as predicted at admission and as it was', ['kind'])
   readonly #answerSeconds = this.#observe('answer_seconds', 'Time from acceptance to the answer', ['outcome'])
 
   override observeStart (answer: string, tookMs: number): void {
@@ -28,6 +30,15 @@
     this.#takeovers.inc({ how })
   }
 
+  override countSuperseded (): void {
+    this.#superseded.inc()
+  }
+
+  override observeWait (predictedMs: number, tookMs: number): void {
+    this.#waitSeconds.observe({ kind: 'predicted' }, predictedMs / 1_000)
+    this.#waitSeconds.observe({ kind: 'real' }, tookMs / 1_000)
+  }
+
   override countAnswer (outcome: string, reason: string, tookMs: number): void {
     this.#answers.inc({ outcome, reason })
     this.#answerSeconds.observe({ outcome }, tookMs / 1_000)
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -55,6 +55,7 @@
   }
 
   #startTask (job: JobRun, task: TaskRecord, session: TargetSession): void {
+    if (!job.started) this.#state.metrics.observeWait(job.predictedWaitMs, this.#state.now() - job.receivedAt)
     task.starts++
     task.state = 'running'
     job.started = true
--- a/packages/fleet/test/decisions.test.ts
+++ b/packages/fleet/test/decisions.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { type Candidate, chooseDomain, compareJobs, decideAdmission, decideCandidacy, type InstanceEntry, judgeMissing, pickTarget, type QueuedJob, rankInstances, type Run, sortQueue, TargetClock, TargetHealth } from '../src/index.js'
+import { type Candidate, chooseDomain, compareJobs, decideAdmission, decideCandidacy, type InstanceEntry, judgeMissing, listHopeless, pickTarget, type QueuedJob, rankInstances, type Run, sortQueue, TargetClock, TargetHealth } from '../src/index.js'
 
 function createJob (id: string, priority: number, objectiveAt: number, remainingMs = 100): QueuedJob {
   return { id, priority, objectiveAt, usefulAt: objectiveAt * 3, acceptedAt: 0, remainingMs }
@@ -26,6 +26,13 @@
     assert.deepEqual(decision, { kind: 'reject', predictedMs: 1_200, retryAfterMs: 700 })
   })
 
+  it('gives up what waits behind a burst of more urgent jobs, but nothing that has started', () => {
+    const createJob = (id: string, usefulAt: number, started = false): QueuedJob & { started: boolean } => ({ id, priority: 0, objectiveAt: 0, acceptedAt: 0, usefulAt, remainingMs: 100, started })
+    const sorted = [createJob('urgent-1', 600), createJob('urgent-2', 600), createJob('begun', 100, true), createJob('early', 350), createJob('late', 900)]
+    // Each job holds the targets for 100 ms.
+    assert.deepEqual(listHopeless(sorted, () => 1_000, 10, 0).map(({ job, waitMs }) => [job.id, waitMs]), [['early', 300]])
+  })
+
   it('takes a job that waits and is still of use', () => {
     assert.equal(decideAdmission({ workAheadMs: 200_000, ratePerMs: 1_000 }, 200, 500).kind, 'admit')
   })
