--- a/packages/cli/src/check-command.ts
+++ b/packages/cli/src/check-command.ts
@@ -1,10 +1,11 @@
 import { type ListName, type Problem, type Settings } from '@sesamereel/protocol'
+import { listDeployProblems, listSettingsProblems as listPlatformProblems } from '@sesamereel/platform'
 import { type LimitList, type PlanList } from '@sesamereel/state'
 import { type CommandContext, CommandError } from './command-context.js'
 import { listClashes, listSettingsProblems, listUnknownPlans, listUselessLimits } from './cross-checks.js'
 import { exitCodes } from './exit-codes.js'
 import { formatCount } from './format-table.js'
-import { fileSchemas, formatProblems, listListProblems, listSchemaProblems, readJsonFile, readListFile } from './input-files.js'
+import { fileSchemas, formatProblems, listListProblems, listSchemaProblems, readJsonFile, readListFile, readTextFile } from './input-files.js'
 
 export interface CheckFlags {
   /** One or more settings files; several are also compared with each other. */
@@ -12,6 +13,10 @@
   readonly plans?: string
   readonly limits?: string
   readonly job?: string
+  /** Settings files of the platform build. */
+  readonly platform?: string | readonly string[]
+  /** Deploy file of the platform build. */
+  readonly deploy?: string
   readonly json?: boolean
 }
 
@@ -29,7 +34,10 @@
   await checkSettings(context, settingsFiles, findings)
   await checkLists(context, flags, findings)
   if (flags.job !== undefined) findings.set(flags.job, listSchemaProblems(fileSchemas.job, await readJsonFile(context, flags.job)))
-  if (findings.size === 0) throw new CommandError('nothing to check: use --settings, --plans, --limits or --job FILE', exitCodes.invalidInput.code)
+  const platformFiles = flags.platform === undefined ? [] : typeof flags.platform === 'string' ? [flags.platform] : flags.platform
+  for (const file of platformFiles) findings.set(file, listPlatformProblems(await readTextFile(context, file)))
+  if (flags.deploy !== undefined) findings.set(flags.deploy, listDeployProblems(await readTextFile(context, flags.deploy)))
+  if (findings.size === 0) throw new CommandError('nothing to check: use --settings, --plans, --limits, --job, --platform or --deploy FILE', exitCodes.invalidInput.code)
   const wrong = [...findings].filter(([, problems]) => problems.length > 0)
   if (flags.json === true) {
     context.print(JSON.stringify([...findings].map(([file, problems]) => ({ file, problems }))))
--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -3,6 +3,7 @@
 import { type CheckFlags, runCheck } from './check-command.js'
 import { type CommandContext } from './command-context.js'
 import { runExplain } from './explain-command.js'
+import { type ExplainFlags, isJobId, runExplainJob } from './explain-job-command.js'
 import { type JobFlags, runCancel, runFetch, runSubmit } from './job-commands.js'
 import { type ListFlags, runList } from './list-commands.js'
 import { runStatus, type StatusFlags } from './status-command.js'
@@ -40,17 +41,22 @@
     .option('--plans <file>', 'Plans list')
     .option('--limits <file>', 'Limits list; with --plans, every plan must have a limit')
     .option('--job <file>', 'Job file')
+    .option('--platform <file>', 'Settings file of the platform build; repeatable')
+    .option('--deploy <file>', 'Deploy file of the platform build')
     .option('--json', 'Print JSON')
     .example('  sesamereel check --settings gent-1.0.json --settings gent-1.1.json\n  sesamereel check --plans plans.json --limits limits.json')
     .action(async (flags: CheckFlags) => await runCheck(context, flags))
 
   addConnection(cli.command('status', 'Show instances, targets, shares and configuration versions'))
-    .example('  sesamereel status --server 10.0.1.4:7400')
+    .option('--fleet <address>', 'Metrics address IP:PORT of an instance of the platform build; repeatable, the first that answers')
+    .example('  sesamereel status --server 10.0.1.4:7400\n  sesamereel status --fleet 10.0.1.4:9464')
     .action(async (flags: StatusFlags) => await runStatus(context, flags))
 
-  cli.command('explain [code]', 'Explain a result code by number or name; without one, list all')
-    .example('  sesamereel explain 300\n  sesamereel explain KeyExpired')
-    .action((code: string | undefined) => runExplain(context, code))
+  cli.command('explain [code]', 'Explain a result code by number or name, or a job of the platform build by its id; without one, list all codes')
+    .option('--log <file>', 'Log of an instance, for a job; repeatable, "-" or none: standard input')
+    .option('--json', 'Print JSON, for a job')
+    .example('  sesamereel explain 300\n  sesamereel explain KeyExpired\n  sesamereel explain 5c0e7a21d94b36f8 --log edge-1.log --log edge-2.log')
+    .action(async (code: string | undefined, flags: ExplainFlags) => code !== undefined && isJobId(code) ? await runExplainJob(context, code, flags) : runExplain(context, code))
 
   cli.help(sections => [...sections, { title: '', body: exitCodeHelp }])
   return cli
--- a/packages/cli/src/input-files.ts
+++ b/packages/cli/src/input-files.ts
@@ -28,20 +28,31 @@
  * @throws CommandError when the file cannot be read or is not JSON
  */
 export async function readJsonFile (context: CommandContext, file: string): Promise<unknown> {
-  const name = file === standardInput ? 'standard input' : file
-  let content: string
+  const content = await readTextFile(context, file)
   try {
-    content = await context.readText(file)
+    return JSON.parse(content)
   } catch (error) {
-    throw new CommandError(`${name} cannot be read: ${(error as Error).message}`, exitCodes.invalidInput.code)
+    throw new CommandError(`${formatFileName(file)} is not JSON: ${(error as Error).message}`, exitCodes.invalidInput.code)
   }
+}
+
+/**
+ * Reads a file as text.
+ *
+ * @throws CommandError when the file cannot be read
+ */
+export async function readTextFile (context: CommandContext, file: string): Promise<string> {
   try {
-    return JSON.parse(content)
+    return await context.readText(file)
   } catch (error) {
-    throw new CommandError(`${name} is not JSON: ${(error as Error).message}`, exitCodes.invalidInput.code)
+    throw new CommandError(`${formatFileName(file)} cannot be read: ${(error as Error).message}`, exitCodes.invalidInput.code)
   }
 }
 
+function formatFileName (file: string): string {
+  return file === standardInput ? 'standard input' : file
+}
+
 /**
  * Reads a job file.
  *
--- a/packages/cli/src/status-command.ts
+++ b/packages/cli/src/status-command.ts
@@ -2,13 +2,22 @@
 import { type ConnectionFlags, readConnection } from './connection-options.js'
 import { exitCodes } from './exit-codes.js'
 import { formatStatus } from './format-status.js'
+import { HttpCaller } from './http-caller.js'
 import { printFailure } from './list-commands.js'
 import { OperatorClient } from './operator-client.js'
 
 export interface StatusFlags extends ConnectionFlags {
   readonly json?: boolean
+  /** Metrics addresses `IP:PORT` of instances of the platform build. */
+  readonly fleet?: string | readonly string[]
 }
 
+/** Path of the status on an instance's metrics address. */
+const fleetStatusPath = '/status'
+
+/** Time in milliseconds that an instance has to tell its status. */
+const fleetReplyMs = 2_000
+
 /**
  * Prints the status as one server sees it: instances with their configuration version, targets
  * with their health, and shares.
@@ -16,6 +25,7 @@
  * @returns the exit code
  */
 export async function runStatus (context: CommandContext, flags: StatusFlags): Promise<number> {
+  if (flags.fleet !== undefined) return await runFleetStatus(context, typeof flags.fleet === 'string' ? [flags.fleet] : flags.fleet, flags.json === true)
   const client = new OperatorClient(readConnection(context, flags))
   try {
     const read = await client.getStatus()
@@ -27,3 +37,22 @@
     await client.close()
   }
 }
+
+/** Prints who dispatches for which domain, with tokens, queues and targets, as the first instance that answers sees it. */
+async function runFleetStatus (context: CommandContext, addresses: readonly string[], isJson: boolean): Promise<number> {
+  const caller = new HttpCaller()
+  try {
+    for (const address of addresses) {
+      const result = await caller.call(address, { method: 'GET', path: fleetStatusPath, deadlineMs: fleetReplyMs })
+      if (result.kind === 'reply' && result.status === 200) {
+        if (isJson) context.print(JSON.stringify(result.body))
+        else for (const line of formatStatus(result.body, address)) context.print(line)
+        return exitCodes.success.code
+      }
+      context.printError(`${address}: ${result.kind === 'reply' ? `status ${result.status}` : result.message}`)
+    }
+    return exitCodes.unreachable.code
+  } finally {
+    await caller.close()
+  }
+}
--- a/packages/cli/test/run-program.test.ts
+++ b/packages/cli/test/run-program.test.ts
@@ -115,3 +115,30 @@
   }
   assert.match((await run(['explain', 'keyexpired'])).output, /302 KeyExpired/)
 })
+
+// Guards against settings or a deploy file of the platform that a process or the platform would refuse.
+test('check shows all problems of the platform\'s files', async () => {
+  const deploy = 'build = "make"\n[roles.a]\nrun = "node a"\non = "edge"\nserves = ["edge"]\n'
+  const { code, output } = await run(['check', '--platform', 'node.json', '--deploy', 'system.toml'], { 'node.json': '{"node": "", "zone": 1}', 'system.toml': deploy })
+  assert.equal(code, 2)
+  for (const path of ['node', 'zone', 'listen_addrs', 'roles.a']) assert.match(output, new RegExp(path))
+  assert.equal((await run(['check', '--deploy', 'system.toml'], { 'system.toml': `${deploy}share = 1.0\n` })).code, 0)
+  assert.match((await run(['check', '--deploy', 'system.toml'], { 'system.toml': 'build = ' })).output, /line 1/)
+})
+
+// Guards against a status that hides which instance dispatches.
+test('status shows the holder of each domain from the first instance that answers', async context => {
+  const status = { instance: 'edge-1', openJobs: 3, configurationVersion: 7, domains: [{ domain: 'a', holder: 'edge-2', token: 176, queuedJobs: 4 }], dispatchers: [] }
+  const server = await start(context, seen => seen.path === '/status' ? { status: 200, body: status } : { status: 404, body: {} })
+  const { code, output } = await run(['status', '--fleet', '127.0.0.1:1', '--fleet', server])
+  assert.equal(code, 0)
+  assert.match(output, /a\s+edge-2\s+176\s+4/)
+  assert.equal((await run(['status', '--fleet', '127.0.0.1:1'])).code, 6)
+})
+
+// Guards against a job without lines that looks like one without problems.
+test('explain tells when no line names the job', async () => {
+  const { code, errors } = await run(['explain', '5c0e7a21d94b36f8', '--log', 'a.log'], { 'a.log': 'nothing\n' })
+  assert.equal(code, 2)
+  assert.match(errors, /none of the 0 log lines/)
+})
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -80,6 +80,14 @@
   get queueLength (): number { return this.#state.queue.size }
   get isStopped (): boolean { return this.#stopped }
 
+  /** @returns milliseconds since the oldest queued job was received; 0 without a queue */
+  measureQueueAge (): number {
+    const now = this.#state.now()
+    let oldest = now
+    for (const job of this.#state.queue) oldest = Math.min(oldest, job.receivedAt)
+    return now - oldest
+  }
+
   /** @returns the sessions of all targets, for status and metrics */
   listSessions (): readonly TargetSession[] {
     return [...this.#state.sessions.values()]
@@ -224,6 +232,7 @@
 
   #handleSuperseded (session: TargetSession): void {
     if (this.#stopped) return
+    this.#state.metrics.countSuperseded()
     this.#state.log('belief', 'superseded-at-target', { domain: this.domain, target: session.info.id, token: this.#token })
     this.#options.onSuperseded()
   }
