Look again when the answer to a look is overdue

Change: a look waits 150 ms at most at a target with runs; a second look goes out when the answer is 60 ms overdue; a target that has answered a later look is not silent.

--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -21,6 +21,12 @@
 /** Part of the longest lease that a look may wait; two looks fit into a lease. */
 const lookWaitShare = 0.45
 
+/** Longest wait in milliseconds of a look at a target with runs: about the time between two ends there. */
+const busyWaitMs = 150
+
+/** Time in milliseconds beyond the asked wait after which an answer is overdue; a round trip takes a few. */
+const overdueMs = 60
+
 /** Pause in milliseconds between looks at a target that doesn't answer, doubled up to the longest. */
 const firstRetryMs = 50
 const longestRetryMs = 400
@@ -194,14 +200,43 @@
 
   async #runLookLoop (): Promise<void> {
     while (!this.#closed) {
-      const waitMs = this.#seen && !this.#silent ? Math.floor(this.#limits.maxLeaseMs * lookWaitShare) : 0
-      const answered = await this.#look(waitMs)
+      const answered = await this.#lookHedged(this.#chooseWait())
       if (answered || this.#closed) continue
       await this.#pause(this.#retryMs)
       this.#retryMs = Math.min(longestRetryMs, this.#retryMs * 2)
     }
   }
 
+  /** A busy target tells an end soon, so a look that waits for long there has lost its answer. */
+  #chooseWait (): number {
+    if (!this.#seen || this.#silent) return 0
+    const longestMs = Math.floor(this.#limits.maxLeaseMs * lookWaitShare)
+    return this.runs.size > 0 ? Math.min(busyWaitMs, longestMs) : longestMs
+  }
+
+  /**
+   * Looks, and looks again beside it when the answer is overdue: until the next answer no end is
+   * seen, and room that is free is not used.
+   *
+   * @returns whether the target answered
+   */
+  async #lookHedged (waitMs: number): Promise<boolean> {
+    const first = this.#look(waitMs)
+    const isOverdue = await this.#isPending(first, waitMs + overdueMs)
+    if (isOverdue && !this.#closed && await this.#look(0)) {
+      first.catch((error: unknown) => { this.#observer.onFault(error) })
+      return true
+    }
+    return await first
+  }
+
+  async #isPending (answer: Promise<boolean>, ms: number): Promise<boolean> {
+    return await new Promise<boolean>((resolve, reject) => {
+      const cancel = this.#clock.startTimer(ms, () => { resolve(true) })
+      answer.then(() => { cancel(); resolve(false) }, reject)
+    })
+  }
+
   /** @returns whether the target answered with its lists */
   async #look (waitMs: number): Promise<boolean> {
     const sentAt = this.#clock.now()
@@ -229,6 +264,8 @@
       this.#forgetLife()
       this.#loseAll('restarted')
     }
+    // A lost answer says nothing when the target has answered a look since.
+    if (this.#viewedAt > sentAt) return true
     if (!this.#silent && this.#seen) {
       this.#silent = true
       this.#observer.onChanged(this, 'silent')
