--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -1,6 +1,7 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type Demand } from '@sesamereel/state'
 import { type FleetLimits } from './limits.js'
+import { LookLoop } from './look-loop.js'
 import { ReservedRoom } from './reserved-room.js'
 import { formatRunKey, judgeMissing, type LossReason, type Run } from './run.js'
 import { type SessionObserver } from './session-observer.js'
@@ -24,13 +25,6 @@
 /** Longest wait in milliseconds of a look at a target with runs: about the time between two ends there. */
 const busyWaitMs = 150
 
-/** Time in milliseconds beyond the asked wait after which an answer is overdue; a round trip takes a few. */
-const overdueMs = 60
-
-/** Pause in milliseconds between looks at a target that doesn't answer, doubled up to the longest. */
-const firstRetryMs = 50
-const longestRetryMs = 400
-
 /** Pause in milliseconds before a stop without an answer is sent again. */
 const stopRetryMs = 200
 
@@ -63,10 +57,9 @@
   #unbarredOrders = 0
   /** Keys of the runs that ended last, in the order of their ends. */
   readonly #endedKeys = new Set<string>()
-  #retryMs = firstRetryMs
+  readonly #lookLoop: LookLoop
   #isLookingNow = false
   #viewedAt = -Infinity
-  #cancelRetry: (() => void) | undefined
   readonly #reserved = new ReservedRoom()
   /** Runs whose room is not known; while there are any, the target counts as full. */
   #unknownRuns = 0
@@ -79,6 +72,7 @@
     this.#limits = limits
     this.#observer = observer
     this.#unansweredOrders = new UnansweredOrders(limits.lateOrderMs)
+    this.#lookLoop = new LookLoop(clock, () => this.#chooseWait(), async waitMs => await this.#look(waitMs))
   }
 
   get info (): TargetInfo { return this.#info }
@@ -103,13 +97,13 @@
 
   /** Begins to look at the target. */
   start (): void {
-    this.#runLookLoop().catch((error: unknown) => { this.#observer.onFault(error) })
+    this.#lookLoop.run().catch((error: unknown) => { this.#observer.onFault(error) })
   }
 
   /** Ends all orders; runs at the target go on until their leases lapse. */
   close (): void {
     this.#closed = true
-    this.#cancelRetry?.()
+    this.#lookLoop.close()
     this.#connection.close()
   }
 
@@ -198,15 +192,6 @@
     }
   }
 
-  async #runLookLoop (): Promise<void> {
-    while (!this.#closed) {
-      const answered = await this.#lookHedged(this.#chooseWait())
-      if (answered || this.#closed) continue
-      await this.#pause(this.#retryMs)
-      this.#retryMs = Math.min(longestRetryMs, this.#retryMs * 2)
-    }
-  }
-
   /** A busy target tells an end soon, so a look that waits for long there has lost its answer. */
   #chooseWait (): number {
     if (!this.#seen || this.#silent) return 0
@@ -214,29 +199,6 @@
     return this.runs.size > 0 ? Math.min(busyWaitMs, longestMs) : longestMs
   }
 
-  /**
-   * Looks, and looks again beside it when the answer is overdue: until the next answer no end is
-   * seen, and room that is free is not used.
-   *
-   * @returns whether the target answered
-   */
-  async #lookHedged (waitMs: number): Promise<boolean> {
-    const first = this.#look(waitMs)
-    const isOverdue = await this.#isPending(first, waitMs + overdueMs)
-    if (isOverdue && !this.#closed && await this.#look(0)) {
-      first.catch((error: unknown) => { this.#observer.onFault(error) })
-      return true
-    }
-    return await first
-  }
-
-  async #isPending (answer: Promise<boolean>, ms: number): Promise<boolean> {
-    return await new Promise<boolean>((resolve, reject) => {
-      const cancel = this.#clock.startTimer(ms, () => { resolve(true) })
-      answer.then(() => { cancel(); resolve(false) }, reject)
-    })
-  }
-
   /** @returns whether the target answered with its lists */
   async #look (waitMs: number): Promise<boolean> {
     const sentAt = this.#clock.now()
@@ -285,7 +247,6 @@
     }
     this.#bornMs = view.bornMs ?? this.#bornMs
     this.#targetClock.recordReply(view.clock, sentAt, now)
-    this.#retryMs = firstRetryMs
     this.#viewedAt = now
     this.#takeEnds(view)
     this.#takeRunning(view, now)
@@ -423,11 +384,4 @@
   #isCurrent (run: Run): boolean {
     return this.runs.get(formatRunKey(run.task, run.attempt)) === run
   }
-
-  async #pause (ms: number): Promise<void> {
-    await new Promise<void>(resolve => {
-      const cancel = this.#clock.startTimer(ms, resolve)
-      this.#cancelRetry = () => { cancel(); resolve() }
-    })
-  }
 }
--- a/packages/fleet/test/target-session.test.ts
+++ b/packages/fleet/test/target-session.test.ts
@@ -137,4 +137,21 @@
     session.close()
     assert.deepEqual(observer.events, ['unconfirmed', 'lost lapsed'])
   })
+
+  it('looks again when an answer is overdue, and does not count the target as silent for the lost one', async () => {
+    const { clock, connection, observer, session } = await startSession()
+    connection.startsWait = false
+    session.startRun('job.0.0.0', 1, '', demand)
+    connection.looks.shift()!(createView(101, [{ task: 'job.0.0.0', attempt: 1, percent: 1 }], []))
+    await clock.advance(1)
+    const lost = connection.looks.shift()!
+    await clock.advance(220)
+    connection.looks.shift()!(createView(320, [], [{ number: 1, task: 'job.0.0.0', attempt: 1, how: 'done' }]))
+    await clock.advance(1)
+    assert.deepEqual(observer.events, ['ended done'])
+    lost({ kind: 'no-answer', message: 'no reply' })
+    await clock.advance(1)
+    assert.equal(session.isSilent, false)
+    session.close()
+  })
 })
