Time orders out by the times that they take

Cause: a start whose order or answer is lost waits 150 ms for it before its task can start elsewhere, while an answer takes 2 ms; most such jobs are late. Change: the timeout follows the smoothed time of the target's answers and its variation, between 60 and 150 ms.

--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -2,6 +2,7 @@
 import { type Demand } from '@sesamereel/state'
 import { type FleetLimits } from './limits.js'
 import { LookLoop } from './look-loop.js'
+import { OrderTimeout } from './order-timeout.js'
 import { ReservedRoom } from './reserved-room.js'
 import { formatRunKey, judgeMissing, type LossReason, type Run } from './run.js'
 import { type SessionObserver } from './session-observer.js'
@@ -10,9 +11,6 @@
 import { type LookReply, type TargetConnection, type TargetInfo, type TargetView } from './target-types.js'
 import { type StartIdentity, UnansweredOrders } from './unanswered-orders.js'
 
-/** Time in milliseconds that a target has to answer a start or stop; a round trip takes about one. */
-const orderTimeoutMs = 150
-
 /** Time in milliseconds beyond the asked wait that a target has to answer a look. */
 const lookTimeoutMs = 250
 
@@ -45,6 +43,7 @@
   readonly #limits: FleetLimits
   readonly #observer: SessionObserver
   readonly #targetClock = new TargetClock()
+  readonly #orderTimeout = new OrderTimeout()
   #info: TargetInfo
   #bornMs: number | undefined
   #lastSeen = 0
@@ -150,9 +149,10 @@
   }
 
   async #sendStart (run: Run, payload: string): Promise<void> {
-    const reply = await this.#connection.start({ task: run.task, attempt: run.attempt, payload, deadline: run.deadline, token: this.#token() }, orderTimeoutMs)
-    if (this.#closed || !this.#isCurrent(run)) return
+    const reply = await this.#connection.start({ task: run.task, attempt: run.attempt, payload, deadline: run.deadline, token: this.#token() }, this.#orderTimeout.ms)
     const now = this.#clock.now()
+    if (reply.kind === 'accepted') this.#orderTimeout.record(now - run.sentAt)
+    if (this.#closed || !this.#isCurrent(run)) return
     switch (reply.kind) {
       case 'accepted':
         if (run.state === 'starting') run.state = 'running'
@@ -181,7 +181,7 @@
 
   async #sendStop (run: Run): Promise<void> {
     run.stopSentAt = this.#clock.now()
-    const reply = await this.#connection.stop({ task: run.task, attempt: run.attempt, token: this.#token() }, orderTimeoutMs)
+    const reply = await this.#connection.stop({ task: run.task, attempt: run.attempt, token: this.#token() }, this.#orderTimeout.ms)
     if (this.#closed || !this.#isCurrent(run)) return
     if (reply.kind === 'accepted') {
       run.stopAcceptedAt = this.#clock.now()
@@ -345,7 +345,7 @@
   async #barOrder (order: StartIdentity, bornMs: number | undefined): Promise<void> {
     this.#unbarredOrders++
     while (!this.#closed && this.#bornMs === bornMs) {
-      const reply = await this.#connection.stop({ ...order, token: this.#token() }, orderTimeoutMs)
+      const reply = await this.#connection.stop({ ...order, token: this.#token() }, this.#orderTimeout.ms)
       if (reply.kind === 'accepted' || reply.kind === 'rejected') break
       await new Promise<void>(resolve => { this.#clock.startTimer(stopRetryMs, resolve) })
     }
--- a/packages/fleet/test/decisions.test.ts
+++ b/packages/fleet/test/decisions.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { type Candidate, chooseDomain, compareJobs, decideAdmission, decideCandidacy, type InstanceEntry, judgeMissing, listHopeless, pickTarget, type QueuedJob, rankInstances, type Run, sortQueue, TargetClock, TargetHealth } from '../src/index.js'
+import { type Candidate, chooseDomain, compareJobs, decideAdmission, decideCandidacy, type InstanceEntry, judgeMissing, listHopeless, OrderTimeout, pickTarget, type QueuedJob, rankInstances, type Run, sortQueue, TargetClock, TargetHealth } from '../src/index.js'
 
 function createJob (id: string, priority: number, objectiveAt: number, remainingMs = 100): QueuedJob {
   return { id, priority, objectiveAt, usefulAt: objectiveAt * 3, acceptedAt: 0, remainingMs }
@@ -132,6 +132,18 @@
   })
 })
 
+describe('the timeout of orders', () => {
+  it('is short at a target that answers at once, and long before the first answer and at one that is slow', () => {
+    const quick = new OrderTimeout()
+    assert.equal(quick.ms, 150)
+    for (let count = 0; count < 20; count++) quick.record(2)
+    assert.equal(quick.ms, 60)
+    const slow = new OrderTimeout()
+    for (let count = 0; count < 20; count++) slow.record(count % 2 === 0 ? 10 : 90)
+    assert.equal(slow.ms, 150)
+  })
+})
+
 describe('leases', () => {
   it('have lapsed only when the slowest clock says so', () => {
     const clock = new TargetClock()
