--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export { ProcessLauncher } from './launcher.js'
--- a/packages/emulator/src/emulated-network.ts
+++ b/packages/emulator/src/emulated-network.ts
@@ -1,15 +1,15 @@
-import { type ManualClock } from '@sesamereel/coordination'
+import { type Clock } from '@sesamereel/coordination'
 
 /** Time in milliseconds of one way between two places. */
 const latencyMs = 0.5
 
 /** Carries calls and messages between named places, and loses them where a cut is. */
 export class EmulatedNetwork {
-  readonly #clock: ManualClock
+  readonly #clock: Clock
   /** Directions that are cut, as `from>to`. */
   readonly #cuts = new Set<string>()
 
-  constructor (clock: ManualClock) {
+  constructor (clock: Clock) {
     this.#clock = clock
   }
 
--- a/packages/emulator/src/emulated-store.ts
+++ b/packages/emulator/src/emulated-store.ts
@@ -1,4 +1,4 @@
-import { type ManualClock } from '@sesamereel/coordination'
+import { type Clock } from '@sesamereel/coordination'
 import { type ConditionalWrite, type ListReply, MetadataStore, type RowChange, type StoreRow, type WatchReply, type WriteReply } from '@sesamereel/fleet'
 import { type EmulatedNetwork } from './emulated-network.js'
 
@@ -24,13 +24,13 @@
 /** The platform's store with one counter of revisions. */
 export class EmulatedStore {
   fault: StoreFault = 'none'
-  readonly #clock: ManualClock
+  readonly #clock: Clock
   readonly #network: EmulatedNetwork
   readonly #tables = new Map<string, Table>()
   #revision = 0
   #historyFrom = 0
 
-  constructor (clock: ManualClock, network: EmulatedNetwork) {
+  constructor (clock: Clock, network: EmulatedNetwork) {
     this.#clock = clock
     this.#network = network
   }
--- a/packages/emulator/src/emulated-target.ts
+++ b/packages/emulator/src/emulated-target.ts
@@ -1,4 +1,4 @@
-import { type ManualClock } from '@sesamereel/coordination'
+import { type Clock } from '@sesamereel/coordination'
 import { type EndedEntry, type EndKind, hasRoom, type LookReply, type LookRequest, type StartOrder, type StartReply, type StopOrder, type StopReply, type TargetInfo, type TargetView } from '@sesamereel/fleet'
 import { type FleetHistory } from './fleet-history.js'
 
@@ -35,7 +35,7 @@
   fault: TargetFault = 'none'
   /** Run time relative to the work. */
   slowness = 1
-  readonly #clock: ManualClock
+  readonly #clock: Clock
   readonly #history: FleetHistory
   readonly #runs = new Map<string, TargetRun>()
   readonly #highestAttempt = new Map<string, number>()
@@ -48,7 +48,7 @@
   #isUp = true
   readonly #waiting = new Set<() => void>()
 
-  constructor (info: TargetInfo, clock: ManualClock, history: FleetHistory) {
+  constructor (info: TargetInfo, clock: Clock, history: FleetHistory) {
     this.info = info
     this.#clock = clock
     this.#history = history
--- a/packages/emulator/src/fleet-history.ts
+++ b/packages/emulator/src/fleet-history.ts
@@ -1,4 +1,4 @@
-import { type ManualClock } from '@sesamereel/coordination'
+import { type Clock } from '@sesamereel/coordination'
 import { type JobAnswer, parseTaskName } from '@sesamereel/fleet'
 
 /** A run as its target saw it. */
@@ -25,11 +25,11 @@
 export class FleetHistory {
   readonly runs: RunRecord[] = []
   readonly answers: AnswerRecord[] = []
-  readonly #clock: ManualClock
+  readonly #clock: Clock
   readonly #submitted = new Map<string, number>()
   readonly #drainingSince = new Map<string, number>()
 
-  constructor (clock: ManualClock) {
+  constructor (clock: Clock) {
     this.#clock = clock
   }
 
--- a/packages/emulator/src/random-day.ts
+++ b/packages/emulator/src/random-day.ts
@@ -1,5 +1,5 @@
-import { type EmulatedFleet } from './emulated-fleet.js'
-import { type EmulatedTarget } from './emulated-target.js'
+import { type EmulatedFleet, emulatedTargetTable } from './emulated-fleet.js'
+import { SurroundingFaults, surroundingFaultNames } from './surrounding-faults.js'
 
 /** Pause in milliseconds between two submitted jobs. */
 const jobGapMs = 40
@@ -16,7 +16,7 @@
 /** Time in milliseconds after the last fault in which everything must recover and jobs must end. */
 const recoveryMs = 12_000
 
-const faultNames = ['kill', 'stop', 'cut-domain', 'cut-instance', 'cut-targets', 'one-way', 'store-down', 'store-silent', 'store-loses', 'store-late', 'history', 'crash', 'restart', 'hang', 'fail', 'slow', 'reject', 'late-orders', 'drain'] as const
+const faultNames = ['kill', 'stop', 'cut-domain', 'cut-instance', 'cut-targets', 'one-way', ...surroundingFaultNames] as const
 
 type FaultName = (typeof faultNames)[number]
 
@@ -39,12 +39,17 @@
 /** A day of random faults, which overlap and repeat, decided by the fleet's seed. */
 export class RandomDay {
   readonly #fleet: EmulatedFleet
+  readonly #surroundings: SurroundingFaults
   readonly #faults: string[] = []
   #endings: Ending[] = []
   #nextFaultAt: number
 
   constructor (fleet: EmulatedFleet) {
     this.#fleet = fleet
+    const { store, targets, late, random } = fleet
+    this.#surroundings = new SurroundingFaults({
+      store, targets, late, random, announce: (target, draining) => { store.put(emulatedTargetTable, target.info.id, JSON.stringify({ ...target.info, draining })) }
+    })
     this.#nextFaultAt = fleet.clock.now() + shortestPauseMs
   }
 
@@ -115,7 +120,6 @@
 
   /** @returns how to end the fault, if it lasts */
   #inject (name: FaultName): (() => void) | undefined {
-    const { store, late, random } = this.#fleet
     switch (name) {
       case 'kill': return this.#killInstance()
       case 'stop': return this.#stopInstance()
@@ -123,26 +127,10 @@
       case 'cut-instance': return this.#cutInstance()
       case 'cut-targets': return this.#cutTarget(true)
       case 'one-way': return this.#cutTarget(false)
-      case 'store-down': return this.#setStore('down')
-      case 'store-silent': return this.#setStore('silent')
-      case 'store-loses': return this.#setStore('lose-replies')
-      case 'store-late': return this.#setStore('late-writes')
-      case 'history': store.dropHistory(); return undefined
-      case 'crash': { const target = this.#pickTarget(); target.crash(); return () => { target.restart() } }
-      case 'restart': this.#pickTarget().restart(); return undefined
-      case 'hang': return this.#setTarget('hangs')
-      case 'fail': return this.#setTarget('fails')
-      case 'reject': return this.#setTarget('rejects')
-      case 'slow': { const target = this.#pickTarget(); target.slowness = random.pickNumber(3, 8); return () => { target.slowness = 1 } }
-      case 'late-orders': late.share = random.pickNumber(2, 30) / 100; return () => { late.share = 0 }
-      case 'drain': return this.#drainTarget()
+      default: return this.#surroundings.inject(name)
     }
   }
 
-  #pickTarget (): EmulatedTarget {
-    return this.#fleet.random.pick([...this.#fleet.targets.values()])!
-  }
-
   #pickInstance (): string | undefined {
     const { random, instances } = this.#fleet
     // Half of the faults meet a dispatcher.
@@ -182,7 +170,7 @@
   }
 
   #cutDomain (): () => void {
-    const { domain } = this.#pickTarget().info
+    const { domain } = this.#surroundings.pickTarget().info
     const instances = [...this.#fleet.instances.values()].filter(parts => parts.entry.domain === domain).map(parts => parts.entry.instance)
     return this.#isolate([...instances, ...this.#fleet.listTargets(domain).map(target => target.info.id)])
   }
@@ -193,7 +181,7 @@
   }
 
   #cutTarget (bothWays: boolean): () => void {
-    const { id } = this.#pickTarget().info
+    const { id } = this.#surroundings.pickTarget().info
     for (const instance of this.#fleet.instances.keys()) {
       this.#fleet.network.cut(id, instance)
       if (bothWays) this.#fleet.network.cut(instance, id)
@@ -201,25 +189,6 @@
     return () => { this.#fleet.network.heal() }
   }
 
-  #setStore (fault: EmulatedFleet['store']['fault']): () => void {
-    this.#fleet.store.fault = fault
-    return () => { this.#fleet.store.fault = 'none' }
-  }
-
-  #setTarget (fault: EmulatedTarget['fault']): () => void {
-    const target = this.#pickTarget()
-    target.fault = fault
-    return () => { target.fault = 'none' }
-  }
-
-  #drainTarget (): (() => void) | undefined {
-    const target = this.#pickTarget()
-    // A target can say that it leaves only to a store that hears it.
-    if (this.#fleet.store.fault !== 'none') return undefined
-    this.#fleet.store.put('targets', target.info.id, JSON.stringify({ ...target.info, draining: true }))
-    return () => { this.#fleet.store.put('targets', target.info.id, JSON.stringify(target.info)) }
-  }
-
   #countReserved (): number {
     let count = 0
     for (const parts of this.#fleet.instances.values()) {
