--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -1,6 +1,8 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type Demand } from '@sesamereel/state'
 import { type FleetLimits } from './limits.js'
+import { LookLoop } from './look-loop.js'
+import { OrderTimeout } from './order-timeout.js'
 import { ReservedRoom } from './reserved-room.js'
 import { formatRunKey, judgeMissing, type LossReason, type Run } from './run.js'
 import { type SessionObserver } from './session-observer.js'
@@ -9,9 +11,6 @@
 import { type LookReply, type TargetConnection, type TargetInfo, type TargetView } from './target-types.js'
 import { type StartIdentity, UnansweredOrders } from './unanswered-orders.js'
 
-/** Time in milliseconds that a target has to answer a start or stop; a round trip takes about one. */
-const orderTimeoutMs = 150
-
 /** Time in milliseconds beyond the asked wait that a target has to answer a look. */
 const lookTimeoutMs = 250
 
@@ -21,9 +20,8 @@
 /** Part of the longest lease that a look may wait; two looks fit into a lease. */
 const lookWaitShare = 0.45
 
-/** Pause in milliseconds between looks at a target that doesn't answer, doubled up to the longest. */
-const firstRetryMs = 50
-const longestRetryMs = 400
+/** Longest wait in milliseconds of a look at a target with runs: about the time between two ends there. */
+const busyWaitMs = 150
 
 /** Pause in milliseconds before a stop without an answer is sent again. */
 const stopRetryMs = 200
@@ -45,6 +43,7 @@
   readonly #limits: FleetLimits
   readonly #observer: SessionObserver
   readonly #targetClock = new TargetClock()
+  readonly #orderTimeout = new OrderTimeout()
   #info: TargetInfo
   #bornMs: number | undefined
   #lastSeen = 0
@@ -57,10 +56,9 @@
   #unbarredOrders = 0
   /** Keys of the runs that ended last, in the order of their ends. */
   readonly #endedKeys = new Set<string>()
-  #retryMs = firstRetryMs
+  readonly #lookLoop: LookLoop
   #isLookingNow = false
   #viewedAt = -Infinity
-  #cancelRetry: (() => void) | undefined
   readonly #reserved = new ReservedRoom()
   /** Runs whose room is not known; while there are any, the target counts as full. */
   #unknownRuns = 0
@@ -73,6 +71,7 @@
     this.#limits = limits
     this.#observer = observer
     this.#unansweredOrders = new UnansweredOrders(limits.lateOrderMs)
+    this.#lookLoop = new LookLoop(clock, () => this.#chooseWait(), async waitMs => await this.#look(waitMs))
   }
 
   get info (): TargetInfo { return this.#info }
@@ -97,13 +96,13 @@
 
   /** Begins to look at the target. */
   start (): void {
-    this.#runLookLoop().catch((error: unknown) => { this.#observer.onFault(error) })
+    this.#lookLoop.run().catch((error: unknown) => { this.#observer.onFault(error) })
   }
 
   /** Ends all orders; runs at the target go on until their leases lapse. */
   close (): void {
     this.#closed = true
-    this.#cancelRetry?.()
+    this.#lookLoop.close()
     this.#connection.close()
   }
 
@@ -150,9 +149,10 @@
   }
 
   async #sendStart (run: Run, payload: string): Promise<void> {
-    const reply = await this.#connection.start({ task: run.task, attempt: run.attempt, payload, deadline: run.deadline, token: this.#token() }, orderTimeoutMs)
-    if (this.#closed || !this.#isCurrent(run)) return
+    const reply = await this.#connection.start({ task: run.task, attempt: run.attempt, payload, deadline: run.deadline, token: this.#token() }, this.#orderTimeout.ms)
     const now = this.#clock.now()
+    if (reply.kind === 'accepted') this.#orderTimeout.record(now - run.sentAt)
+    if (this.#closed || !this.#isCurrent(run)) return
     switch (reply.kind) {
       case 'accepted':
         if (run.state === 'starting') run.state = 'running'
@@ -181,7 +181,7 @@
 
   async #sendStop (run: Run): Promise<void> {
     run.stopSentAt = this.#clock.now()
-    const reply = await this.#connection.stop({ task: run.task, attempt: run.attempt, token: this.#token() }, orderTimeoutMs)
+    const reply = await this.#connection.stop({ task: run.task, attempt: run.attempt, token: this.#token() }, this.#orderTimeout.ms)
     if (this.#closed || !this.#isCurrent(run)) return
     if (reply.kind === 'accepted') {
       run.stopAcceptedAt = this.#clock.now()
@@ -192,14 +192,11 @@
     }
   }
 
-  async #runLookLoop (): Promise<void> {
-    while (!this.#closed) {
-      const waitMs = this.#seen && !this.#silent ? Math.floor(this.#limits.maxLeaseMs * lookWaitShare) : 0
-      const answered = await this.#look(waitMs)
-      if (answered || this.#closed) continue
-      await this.#pause(this.#retryMs)
-      this.#retryMs = Math.min(longestRetryMs, this.#retryMs * 2)
-    }
+  /** A busy target tells an end soon, so a look that waits for long there has lost its answer. */
+  #chooseWait (): number {
+    if (!this.#seen || this.#silent) return 0
+    const longestMs = Math.floor(this.#limits.maxLeaseMs * lookWaitShare)
+    return this.runs.size > 0 ? Math.min(busyWaitMs, longestMs) : longestMs
   }
 
   /** @returns whether the target answered with its lists */
@@ -229,6 +226,8 @@
       this.#forgetLife()
       this.#loseAll('restarted')
     }
+    // A lost answer says nothing when the target has answered a look since.
+    if (this.#viewedAt > sentAt) return true
     if (!this.#silent && this.#seen) {
       this.#silent = true
       this.#observer.onChanged(this, 'silent')
@@ -248,7 +247,6 @@
     }
     this.#bornMs = view.bornMs ?? this.#bornMs
     this.#targetClock.recordReply(view.clock, sentAt, now)
-    this.#retryMs = firstRetryMs
     this.#viewedAt = now
     this.#takeEnds(view)
     this.#takeRunning(view, now)
@@ -347,7 +345,7 @@
   async #barOrder (order: StartIdentity, bornMs: number | undefined): Promise<void> {
     this.#unbarredOrders++
     while (!this.#closed && this.#bornMs === bornMs) {
-      const reply = await this.#connection.stop({ ...order, token: this.#token() }, orderTimeoutMs)
+      const reply = await this.#connection.stop({ ...order, token: this.#token() }, this.#orderTimeout.ms)
       if (reply.kind === 'accepted' || reply.kind === 'rejected') break
       await new Promise<void>(resolve => { this.#clock.startTimer(stopRetryMs, resolve) })
     }
@@ -386,11 +384,4 @@
   #isCurrent (run: Run): boolean {
     return this.runs.get(formatRunKey(run.task, run.attempt)) === run
   }
-
-  async #pause (ms: number): Promise<void> {
-    await new Promise<void>(resolve => {
-      const cancel = this.#clock.startTimer(ms, resolve)
-      this.#cancelRetry = () => { cancel(); resolve() }
-    })
-  }
 }
