Finish late jobs whose last tasks wait, and begun ones before other late ones

Change: a late job of which a quarter or less waits counts like one that can be on time; other begun late jobs go before late ones that have not begun.

--- a/packages/fleet/src/job-run.ts
+++ b/packages/fleet/src/job-run.ts
@@ -69,6 +69,10 @@
     return estimateChainMs(steps.map((step, index) => this.#undone[index] === 0 ? { ...step, estimateMs: 0 } : step))
   }
 
+  get waitingShare (): number {
+    return this.tasks.reduce((count, task) => task.state === 'waiting' ? count + 1 : count, 0) / this.tasks.length
+  }
+
   findTask (step: number, index: number): TaskRecord | undefined {
     const spec = this.spec.steps[step]
     return spec === undefined || index >= spec.count ? undefined : this.tasks[this.#offsets[step]! + index]
--- a/packages/fleet/src/queue-order.ts
+++ b/packages/fleet/src/queue-order.ts
@@ -8,8 +8,15 @@
   readonly acceptedAt: number
   /** Time that the job's waiting work still needs once it starts. */
   readonly remainingMs: number
+  /** Whether tasks of the job have started. */
+  readonly started: boolean
+  /** Part of the job's tasks that wait for a start, from 0 to 1. */
+  readonly waitingShare: number
 }
 
+/** A late job of which at most this part waits costs less than the work that giving it up would waste. */
+const nearlyDoneShare = 0.25
+
 /** Whether a job can still be answered on time, late, or only too late to be of use. */
 export type Urgency = 'on-time' | 'late' | 'useless'
 
@@ -22,7 +29,18 @@
   return end <= job.usefulAt ? 'late' : 'useless'
 }
 
-const urgencyRank: Readonly<Record<Urgency, number>> = { 'on-time': 0, late: 1, useless: 2 }
+/**
+ * Ranks a job for an overload; lower ranks go first. Late jobs whose last tasks wait count as those
+ * that can be on time, and begun ones go before the other late ones: a job that was begun and then
+ * waits until it is of no use has wasted its work.
+ */
+function rankJob (job: QueuedJob, now: number): number {
+  const urgency = judgeUrgency(job, now)
+  if (urgency === 'on-time') return 0
+  if (urgency === 'useless') return 3
+  if (job.started && job.waitingShare <= nearlyDoneShare) return 0
+  return job.started ? 1 : 2
+}
 
 /**
  * Decides which of two jobs of one urgency goes first: the operator's priority, then the earlier
@@ -42,7 +60,7 @@
  */
 export function sortQueue<J extends QueuedJob> (jobs: readonly J[], now: number): J[] {
   return jobs
-    .map(job => ({ job, rank: urgencyRank[judgeUrgency(job, now)] }))
+    .map(job => ({ job, rank: rankJob(job, now) }))
     .sort((a, b) => a.rank - b.rank || compareJobs(a.job, b.job))
     .map(entry => entry.job)
 }
--- a/packages/fleet/test/decisions.test.ts
+++ b/packages/fleet/test/decisions.test.ts
@@ -3,7 +3,7 @@
 import { type Candidate, chooseDomain, compareJobs, decideAdmission, decideCandidacy, type InstanceEntry, judgeMissing, listHopeless, OrderTimeout, pickTarget, type QueuedJob, rankInstances, type Run, sortQueue, TargetClock, TargetHealth } from '../src/index.js'
 
 function createJob (id: string, priority: number, objectiveAt: number, remainingMs = 100): QueuedJob {
-  return { id, priority, objectiveAt, usefulAt: objectiveAt * 3, acceptedAt: 0, remainingMs }
+  return { id, priority, objectiveAt, usefulAt: objectiveAt * 3, acceptedAt: 0, remainingMs, started: false, waitingShare: 1 }
 }
 
 describe('the order of the queue in an overload', () => {
@@ -14,6 +14,14 @@
     assert.deepEqual(sortQueue([useless, late, onTime], 0).map(job => job.id), ['on-time', 'late', 'useless'])
   })
 
+  it('finishes late jobs whose last tasks wait, and begun ones before other late ones', () => {
+    const fresh = createJob('fresh', 0, 50)
+    const begun = { ...createJob('begun', 2, 50), started: true, waitingShare: 0.5 }
+    const nearlyDone = { ...createJob('nearly-done', 0, 50), started: true, waitingShare: 0.125 }
+    const onTime = createJob('on-time', 0, 500)
+    assert.deepEqual(sortQueue([fresh, begun, onTime, nearlyDone], 0).map(job => job.id), ['nearly-done', 'on-time', 'begun', 'fresh'])
+  })
+
   it('follows the operator\'s priority, then the objective', () => {
     assert.ok(compareJobs(createJob('a', 0, 900), createJob('b', 1, 200)) < 0)
     assert.ok(compareJobs(createJob('a', 1, 100), createJob('b', 1, 200)) < 0)
@@ -27,7 +35,7 @@
   })
 
   it('gives up what waits behind a burst of more urgent jobs, but nothing that has started', () => {
-    const createJob = (id: string, usefulAt: number, started = false): QueuedJob & { started: boolean } => ({ id, priority: 0, objectiveAt: 0, acceptedAt: 0, usefulAt, remainingMs: 100, started })
+    const createJob = (id: string, usefulAt: number, started = false): QueuedJob & { started: boolean } => ({ id, priority: 0, objectiveAt: 0, acceptedAt: 0, usefulAt, remainingMs: 100, started, waitingShare: 1 })
     const sorted = [createJob('urgent-1', 600), createJob('urgent-2', 600), createJob('begun', 100, true), createJob('early', 350), createJob('late', 900)]
     // Each job holds the targets for 100 ms.
     assert.deepEqual(listHopeless(sorted, () => 1_000, 10, 0).map(({ job, waitMs }) => [job.id, waitMs]), [['early', 300]])
