--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -248,7 +248,7 @@
   #tick (): void {
     const now = this.#state.now()
     const { jobs, owners, found, runs } = this.#state
-    this.#intake.rejectHopeless(now)
+    this.#intake.endHopeless(now)
     this.#tracker.refreshViews(now)
     this.#dropUnlisted()
     for (const ownerId of owners.takeExpired(now)) {
