Revert giving begun jobs up; check that no job is shown as failed without cause

An answer of unknown would be true, but its callers would send the job again 1.3 s later, into the same overload. The history check of the emulator and of the soak now flags jobs that are shown as failed while none of their tasks has failed as often.

--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -5,7 +5,7 @@
 import { EmulatedPeers } from './emulated-peers.js'
 import { EmulatedStore } from './emulated-store.js'
 import { EmulatedTarget } from './emulated-target.js'
-import { FleetHistory } from './fleet-history.js'
+import { emulatedMaxAttempts, FleetHistory } from './fleet-history.js'
 import { RandomSource } from './random-source.js'
 
 /** Table of the targets in the emulated store. */
@@ -206,7 +206,7 @@
     payload: JSON.stringify({ workMs, processors }),
     steps: [{ count: tasks, demand: { processors, memoryMb: 1, accelerators: 0 }, estimateMs: workMs, after: [] }],
     priority: 0,
-    maxAttempts: 3,
+    maxAttempts: emulatedMaxAttempts,
     objectiveMs: 1.6 * workMs + 60,
     usefulMs: Math.max(6_000, 5 * workMs)
   }
--- a/packages/emulator/src/fleet-history.ts
+++ b/packages/emulator/src/fleet-history.ts
@@ -21,6 +21,9 @@
 /** Time in milliseconds after which a leaving target must get no more starts. */
 const drainMs = 2_000
 
+/** Times that a task of the emulated queue may fail before its job has failed. */
+export const emulatedMaxAttempts = 3
+
 /** What callers and targets saw of a fleet, and the promises that it must keep. */
 export class FleetHistory {
   readonly runs: RunRecord[] = []
@@ -58,7 +61,7 @@
 
   /** @returns a line for each broken promise */
   listViolations (): readonly string[] {
-    return [...this.#listOverlaps(), ...this.#listFalseRejections(), ...this.#listLateStarts(), ...this.#listPartialAnswers()]
+    return [...this.#listOverlaps(), ...this.#listFalseRejections(), ...this.#listLateStarts(), ...this.#listPartialAnswers(), ...this.#listFalseFailures()]
   }
 
   /** @returns the share of submitted jobs that were completed */
@@ -106,4 +109,14 @@
       .filter(entry => entry.answer.kind === 'completed' && !done.has(entry.jobId))
       .map(entry => `${entry.jobId} was answered as completed without a run that ended`)
   }
+
+  /** A job has failed only if one of its tasks has failed as often as its queue allows. */
+  #listFalseFailures (): readonly string[] {
+    const failures = new Map<string, number>()
+    for (const run of this.runs) if (run.how === 'failed') failures.set(run.task, (failures.get(run.task) ?? 0) + 1)
+    const spent = new Set([...failures].filter(([, count]) => count >= emulatedMaxAttempts).map(([task]) => parseTaskName(task)!.jobId))
+    return this.answers
+      .filter(({ jobId, answer }) => answer.kind === 'failed' && answer.reason !== 'cancelled' && !spent.has(jobId))
+      .map(({ jobId }) => `${jobId} was answered as failed, and no task of it has failed ${emulatedMaxAttempts} times`)
+  }
 }
--- a/packages/emulator/test/fleet.test.ts
+++ b/packages/emulator/test/fleet.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { EmulatedFleet, type FleetShape } from '../src/index.js'
+import { ManualClock } from '@sesamereel/coordination'
+import { EmulatedFleet, FleetHistory, type FleetShape } from '../src/index.js'
 
 const twoDomains: FleetShape = { domains: ['a', 'b'], instancesPerDomain: 3, targetsPerDomain: 6, seed: 1 }
 
@@ -177,3 +178,17 @@
     assert.deepEqual(fleet.history.listViolations(), [])
   })
 })
+
+describe('the history of a fleet', () => {
+  it('flags a job that is answered as failed while its tasks may still be tried', () => {
+    const history = new FleetHistory(new ManualClock())
+    for (let attempt = 1; attempt <= 3; attempt++) {
+      history.recordStart('t', 'spent.0.0.0', attempt)
+      history.recordEnd('t', 'spent.0.0.0', attempt, 'failed')
+    }
+    history.recordAnswer('spent', { kind: 'failed', reason: 'attempts-used' })
+    history.recordAnswer('given-up', { kind: 'failed', reason: 'too-late' })
+    history.recordAnswer('left', { kind: 'failed', reason: 'cancelled' })
+    assert.deepEqual(history.listViolations(), ['given-up was answered as failed, and no task of it has failed 3 times'])
+  })
+})
--- a/packages/fleet/src/admission.ts
+++ b/packages/fleet/src/admission.ts
@@ -41,9 +41,6 @@
   return { kind: 'reject', predictedMs, retryAfterMs: Math.max(shortestRetryMs, Math.ceil(excessMs)) }
 }
 
-/** Estimates are this far off at most as a rule, so a begun job is given up only beyond it. */
-const estimateMargin = 1.5
-
 /** A queued job that can't be of use any more. */
 export interface HopelessJob<J> {
   readonly job: J
@@ -54,24 +51,19 @@
 /**
  * Lists queued jobs whose answers would come too late to be of use. It answers bursts of more
  * urgent jobs and losses of targets: jobs that were admitted before them are told at once instead
- * of waiting for nothing. A begun job is given up only when it surely can't be of use.
+ * of waiting for nothing. A job that has started is never given up here.
  *
  * @param sorted - queued jobs in the order in which they start
  * @param measureWork - work of a job that has not started, in processor milliseconds
  * @param ratePerMs - processor milliseconds that the targets do in a millisecond
  */
-export function listHopeless<J extends QueuedJob> (sorted: readonly J[], measureWork: (job: J) => number, ratePerMs: number, now: number): ReadonlyArray<HopelessJob<J>> {
+export function listHopeless<J extends QueuedJob & { readonly started: boolean }> (sorted: readonly J[], measureWork: (job: J) => number, ratePerMs: number, now: number): ReadonlyArray<HopelessJob<J>> {
   const hopeless: Array<HopelessJob<J>> = []
   let workAheadMs = 0
   for (const job of sorted) {
     const waitMs = predictWaitMs({ workAheadMs, ratePerMs })
-    const isHopeless = job.started ? isSurelyUseless(job, now) : now + waitMs + job.remainingMs > job.usefulAt
-    if (isHopeless) hopeless.push({ job, waitMs })
-    else workAheadMs += measureWork(job)
+    if (job.started || now + waitMs + job.remainingMs <= job.usefulAt) workAheadMs += measureWork(job)
+    else hopeless.push({ job, waitMs })
   }
   return hopeless
 }
-
-function isSurelyUseless (job: QueuedJob, now: number): boolean {
-  return now + job.remainingMs > job.acceptedAt + (job.usefulAt - job.acceptedAt) * estimateMargin
-}
--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -104,7 +104,7 @@
     this.#stopRuns(job)
     this.#outcomes.set(job.id, { outcome, at: now })
     this.owners.send(job.ownerId, { type: 'ended', jobId: job.id, outcome })
-    this.log('job', 'job-ended', { job: job.id, outcome: outcome.kind, reason: outcome.kind === 'completed' ? undefined : outcome.reason, ageMs: Math.round(now - job.acceptedAt), objectiveMs: Math.round(job.spec.objectiveMs) })
+    this.log('job', 'job-ended', { job: job.id, outcome: outcome.kind, ageMs: Math.round(now - job.acceptedAt), objectiveMs: Math.round(job.spec.objectiveMs) })
   }
 
   /** Records that a task has ended `done`. */
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -248,7 +248,7 @@
   #tick (): void {
     const now = this.#state.now()
     const { jobs, owners, found, runs } = this.#state
-    this.#intake.endHopeless(now)
+    this.#intake.rejectHopeless(now)
     this.#tracker.refreshViews(now)
     this.#dropUnlisted()
     for (const ownerId of owners.takeExpired(now)) {
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -77,26 +77,20 @@
   }
 
   /**
-   * Gives up queued jobs that can't be of use any more, also because of what goes before them by
-   * now: after their admission more urgent jobs came, or targets were lost. Jobs that have not
-   * started are rejected, begun ones fail.
+   * Rejects queued jobs that have not started and can't be of use any more, also because of what
+   * goes before them by now: after their admission more urgent jobs came, or targets were lost.
    */
-  endHopeless (now: number): void {
+  rejectHopeless (now: number): void {
     const { queue, sessions } = this.#state
     if (queue.size === 0) return
     const sorted = sortQueue([...queue], now)
     for (const service of new Set(sorted.map(job => job.spec.service))) {
       const ratePerMs = estimateRate(sessions.values(), service)
       const jobs = sorted.filter(job => job.spec.service === service)
-      for (const { job, waitMs } of listHopeless(jobs, sumWaitingWork, ratePerMs, now)) this.#giveUp(job, waitMs, now)
+      for (const { job, waitMs } of listHopeless(jobs, sumWaitingWork, ratePerMs, now)) this.#rejectQueued(job, waitMs, now)
     }
   }
 
-  #giveUp (job: JobRun, waitMs: number, now: number): void {
-    if (job.started) this.#state.endJob(job, { kind: 'failed', reason: 'too-late' })
-    else this.#rejectQueued(job, waitMs, now)
-  }
-
   #rejectQueued (job: JobRun, waitMs: number, now: number): void {
     const { queue, owners } = this.#state
     this.#state.removeJob(job)
--- a/packages/fleet/src/job-types.ts
+++ b/packages/fleet/src/job-types.ts
@@ -36,7 +36,7 @@
 /** How a job ended. */
 export type JobOutcome =
   | { readonly kind: 'completed' }
-  | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' | 'too-late' }
+  | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' }
   /** Tasks may have started, and the job does not go on. */
   | { readonly kind: 'unknown', readonly reason: 'start-unconfirmed' }
 
