--- a/packages/emulator/src/random-day.ts
+++ b/packages/emulator/src/random-day.ts
@@ -1,4 +1,5 @@
 import { type EmulatedFleet, emulatedTargetTable } from './emulated-fleet.js'
+import { FaultSchedule } from './fault-schedule.js'
 import { SurroundingFaults, surroundingFaultNames } from './surrounding-faults.js'
 
 /** Pause in milliseconds between two submitted jobs. */
@@ -7,12 +8,6 @@
 /** Time in milliseconds after an unknown answer after which a caller sends its job again. */
 const resubmitMs = 1_300
 
-/** Range in milliseconds of the pause between two faults, and of their length. */
-const shortestPauseMs = 100
-const longestPauseMs = 1_500
-const shortestFaultMs = 300
-const longestFaultMs = 5_000
-
 /** Time in milliseconds after the last fault in which everything must recover and jobs must end. */
 const recoveryMs = 12_000
 
@@ -20,11 +15,6 @@
 
 type FaultName = (typeof faultNames)[number]
 
-interface Ending {
-  readonly at: number
-  readonly end: () => void
-}
-
 /** What a random day has shown. */
 export interface DayResult {
   readonly violations: readonly string[]
@@ -40,9 +30,7 @@
 export class RandomDay {
   readonly #fleet: EmulatedFleet
   readonly #surroundings: SurroundingFaults
-  readonly #faults: string[] = []
-  #endings: Ending[] = []
-  #nextFaultAt: number
+  readonly #schedule: FaultSchedule<FaultName>
 
   constructor (fleet: EmulatedFleet) {
     this.#fleet = fleet
@@ -50,7 +38,7 @@
     this.#surroundings = new SurroundingFaults({
       store, targets, late, random, announce: (target, draining) => { store.put(emulatedTargetTable, target.info.id, JSON.stringify({ ...target.info, draining })) }
     })
-    this.#nextFaultAt = fleet.clock.now() + shortestPauseMs
+    this.#schedule = new FaultSchedule(random, faultNames, name => this.#inject(name), fleet.clock.now())
   }
 
   /** Plays the day. */
@@ -58,15 +46,14 @@
     const fleet = this.#fleet
     const until = fleet.clock.now() + lengthMs
     while (fleet.clock.now() < until) {
-      this.#endFaults(fleet.clock.now())
-      this.#beginFaults(fleet.clock.now())
+      this.#schedule.update(fleet.clock.now())
       this.#submitJob()
       await fleet.advance(jobGapMs)
     }
-    this.#endFaults(Infinity)
+    this.#schedule.endDue(Infinity)
     await fleet.advance(recoveryMs)
     const isRecovered = await this.#checkRecovery()
-    return { violations: fleet.history.listViolations(), served: fleet.history.measureServed(), faults: this.#faults, reservedRuns: this.#countReserved(), isRecovered }
+    return { violations: fleet.history.listViolations(), served: fleet.history.measureServed(), faults: this.#schedule.faults, reservedRuns: this.#countReserved(), isRecovered }
   }
 
   #submitJob (): void {
@@ -96,28 +83,11 @@
     answer.then(result => { if (result.kind === 'unknown' && instances.get(instance) === parts) send() }).catch(() => {})
     const watch = (): void => {
       if (instances.get(instance) !== parts) send()
-      else if (clock.now() < this.#nextFaultAt + longestFaultMs) clock.startTimer(100, watch)
+      else if (clock.now() < this.#schedule.nextEndsBy) clock.startTimer(100, watch)
     }
     clock.startTimer(100, watch)
   }
 
-  #beginFaults (now: number): void {
-    if (now < this.#nextFaultAt) return
-    const { random } = this.#fleet
-    this.#nextFaultAt = now + random.pickNumber(shortestPauseMs, longestPauseMs)
-    const name = random.pick(faultNames)!
-    const lengthMs = random.pickNumber(shortestFaultMs, longestFaultMs)
-    const end = this.#inject(name)
-    this.#faults.push(`${now} ${name} for ${lengthMs} ms`)
-    if (end !== undefined) this.#endings.push({ at: now + lengthMs, end })
-  }
-
-  #endFaults (now: number): void {
-    const due = this.#endings.filter(ending => ending.at <= now)
-    this.#endings = this.#endings.filter(ending => ending.at > now)
-    for (const ending of due) ending.end()
-  }
-
   /** @returns how to end the fault, if it lasts */
   #inject (name: FaultName): (() => void) | undefined {
     switch (name) {
