Log the evidence on which runs of an earlier dispatcher count as ended

New lines tasks-released, second-run-discovered and unclaimed-run-stopped; job-dropped names the owner, job-answered the state of the connection. Two counters. No decision changes.

--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -177,6 +177,7 @@
         metrics,
         remoteFactor: 1,
         isListComplete: () => targets.isComplete(domain),
+        measureListAgeMs: () => targets.measureAgeMs(),
         onSuperseded
       })
     })
--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -14,6 +14,13 @@
 /** Time in milliseconds for which the outcome of a job is kept for an owner that reconnects. */
 const outcomeRetentionMs = 5_000
 
+/**
+ * Why the runs of an earlier dispatcher are known to have ended, apart from those that were found.
+ * `targets-polled`: every target that may hold one has answered a poll; `leases-expired`: the
+ * longest lease that it may have granted has expired.
+ */
+export type ReleaseEvidence = 'targets-polled' | 'leases-expired'
+
 /** A run and the session of its target. */
 export interface ActiveRun {
   readonly session: TargetSession
@@ -93,7 +100,7 @@
   /** Removes a job without an outcome and stops its runs. */
   dropJob (job: DispatchedJob, reason: string): void {
     this.removeJob(job)
-    this.log('job', 'job-dropped', { job: job.id, reason, started: job.started })
+    this.log('job', 'job-dropped', { job: job.id, owner: job.ownerId, reason, started: job.started })
     this.#stopRuns(job)
   }
 
@@ -134,10 +141,19 @@
     this.unclaimedRuns.remove(name)
   }
 
-  /** Lets the unlocated tasks of a job start, once any runs that an earlier dispatcher started must have ended. */
-  releaseUnlocatedTasks (job: DispatchedJob): void {
+  /**
+   * Lets the unlocated tasks of a job start, once any runs that an earlier dispatcher started must have ended.
+   *
+   * @param inputs - inputs of the decision, for the log
+   */
+  releaseUnlocatedTasks (job: DispatchedJob, evidence: ReleaseEvidence, inputs: LogFields): void {
     this.unlocatedJobs.delete(job)
-    for (const task of job.tasks) if (task.state === 'unlocated') task.state = 'waiting'
+    const released = job.tasks.filter(task => task.state === 'unlocated')
+    for (const task of released) task.state = 'waiting'
+    if (released.length > 0) {
+      this.metrics.countReleasedTasks(evidence, released.length)
+      this.log('belief', 'tasks-released', { job: job.id, tasks: released.length, evidence, ...inputs })
+    }
     if (job.hasStartableTask()) this.queue.add(job)
   }
 
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -1,5 +1,5 @@
 import { type Clock, Mailbox } from '@sesamereel/coordination'
-import { DispatchState } from './dispatch-state.js'
+import { DispatchState, type ReleaseEvidence } from './dispatch-state.js'
 import { type DispatchedJob } from './dispatched-job.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
@@ -42,6 +42,8 @@
   readonly remoteFactor: number
   /** Whether the list of targets is certain to name every target that an earlier dispatcher may have used. */
   readonly isListComplete: () => boolean
+  /** Returns the milliseconds since the list of targets was last known to be current. */
+  readonly measureListAgeMs: () => number
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: () => void
 }
@@ -173,7 +175,7 @@
 
   #handleMessage (connection: OwnerConnection, message: OwnerMessage): void {
     switch (message.type) {
-      case 'submit': this.#intake.handleSubmission(connection, message, job => this.#haveEarlierRunsEnded(job)); break
+      case 'submit': this.#intake.handleSubmission(connection, message, job => this.#findReleaseEvidence(job)); break
       case 'withdraw': this.#intake.withdraw(connection, message.jobId); break
       case 'cancel': this.#intake.cancel(connection, message.jobId, message.reason); break
       case 'cancel-any': this.#intake.cancelAny(connection, message.jobId); break
@@ -204,13 +206,17 @@
       this.#allTargetsSeen = this.#options.isListComplete() && sessions.length > 0 && sessions.every(session => session.isSeen)
     }
     for (const job of this.#state.unlocatedJobs) {
-      if (this.#haveEarlierRunsEnded(job)) this.#state.releaseUnlocatedTasks(job)
+      const evidence = this.#findReleaseEvidence(job)
+      if (evidence === undefined) continue
+      this.#state.releaseUnlocatedTasks(job, evidence, { targets: this.#state.sessions.size, listAgeMs: Math.round(this.#options.measureListAgeMs()), dispatchingMs: Math.round(this.#state.now() - this.#startedAt) })
     }
   }
 
-  #haveEarlierRunsEnded (job: DispatchedJob): boolean {
+  /** @returns the evidence that no run of the job that an earlier dispatcher started can exist, apart from known ones */
+  #findReleaseEvidence (job: DispatchedJob): ReleaseEvidence | undefined {
+    if (this.#allTargetsSeen) return 'targets-polled'
     const leasesEndAt = this.#startedAt + this.#options.limits.maxLeaseMs + leaseExpiryMarginMs
-    return this.#allTargetsSeen || this.#state.now() >= Math.max(leasesEndAt, job.earlierRunsEndAt)
+    return this.#state.now() >= Math.max(leasesEndAt, job.earlierRunsEndAt) ? 'leases-expired' : undefined
   }
 
   #updateTarget (target: TargetInfo): void {
@@ -267,7 +273,9 @@
     }
     for (const name of unclaimedRuns.takeExpired(now)) {
       const active = runs.get(name)
-      if (active !== undefined) active.session.stopRun(active.run)
+      if (active === undefined) continue
+      this.#state.log('order', 'unclaimed-run-stopped', { task: name, attempt: active.run.attempt, target: active.session.info.id, foundMsAgo: Math.round(now - active.run.sentAt) })
+      active.session.stopRun(active.run)
     }
     this.#state.expireOutcomes(now)
   }
--- a/packages/fleet/src/fleet-metrics.ts
+++ b/packages/fleet/src/fleet-metrics.ts
@@ -5,6 +5,10 @@
   abstract countRunEnd (kind: string): void
   /** Counts that this instance has become a dispatcher. */
   abstract countTakeover (cause: string): void
+  /** Counts a second run of a task that a target lists while another run of it may exist. */
+  abstract countSecondRun (): void
+  /** Counts tasks that may start again because every run of an earlier dispatcher has ended; `evidence` says why that is known. */
+  abstract countReleasedTasks (evidence: string, count: number): void
   /** Counts a target that reported a higher fencing token than the dispatcher's. */
   abstract countSuperseded (): void
   /**
@@ -23,6 +27,8 @@
   override observeStartOrder (): void {}
   override countRunEnd (): void {}
   override countTakeover (): void {}
+  override countSecondRun (): void {}
+  override countReleasedTasks (): void {}
   override countSuperseded (): void {}
   override observeQueueWait (): void {}
   override countAnswer (): void {}
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -1,5 +1,5 @@
 import { decideAdmission, selectJobsToShed } from './admission.js'
-import { type DispatchState } from './dispatch-state.js'
+import { type DispatchState, type ReleaseEvidence } from './dispatch-state.js'
 import { DispatchedJob } from './dispatched-job.js'
 import { type RejectionReason } from './job-types.js'
 import { estimateLoad, estimateThroughput, sumWaitingWork } from './load-estimates.js'
@@ -32,10 +32,10 @@
    * Handles the submission of a job. The owner is attached to a job that is known, and receives the
    * recorded outcome of a resubmitted job that has ended. Any other job is added or rejected.
    *
-   * @param haveEarlierRunsEnded - decides whether tasks of the job without a known run cannot have
-   *   one at any target
+   * @param findReleaseEvidence - returns the evidence that tasks of the job without a known run
+   *   cannot have one at any target, if there is any
    */
-  handleSubmission (connection: OwnerConnection, submission: Submission, haveEarlierRunsEnded: (job: DispatchedJob) => boolean): void {
+  handleSubmission (connection: OwnerConnection, submission: Submission, findReleaseEvidence: (job: DispatchedJob) => ReleaseEvidence | undefined): void {
     const state = this.#state
     const known = state.jobs.get(submission.job.id)
     if (known !== undefined) {
@@ -54,7 +54,7 @@
       return
     }
     if (!job.started && this.#rejectUnlessAdmitted(connection, job)) return
-    this.#addJob(connection, job, haveEarlierRunsEnded(job))
+    this.#addJob(connection, job, findReleaseEvidence(job))
   }
 
   /** Returns a job to its owner if none of its tasks has started. */
@@ -101,12 +101,12 @@
     this.#state.log('job', 'job-rejected', { job: job.id, reason: 'waited-too-long', retryAfterMs, waitMs: Math.round(waitMs), waitedMs: Math.round(now - job.acceptedAt), usefulMs: Math.round(job.usefulUntil - now), queued: queue.size })
   }
 
-  #addJob (connection: OwnerConnection, job: DispatchedJob, haveEarlierRunsEnded: boolean): void {
+  #addJob (connection: OwnerConnection, job: DispatchedJob, evidence: ReleaseEvidence | undefined): void {
     const state = this.#state
     state.jobs.set(job.id, job)
     state.owners.trackOwner(connection.ownerId)
     if (job.isComplete) state.endJob(job, { kind: 'completed' })
-    else if (haveEarlierRunsEnded) state.releaseUnlocatedTasks(job)
+    else if (evidence !== undefined) state.releaseUnlocatedTasks(job, evidence, { atSubmission: true })
     else if (job.tasks.some(task => task.state === 'unlocated')) state.unlocatedJobs.add(job)
     else if (job.hasStartableTask()) state.queue.add(job)
   }
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -275,6 +275,7 @@
       ageMs: Math.round(ageMs),
       objectiveMs: Math.round(job.spec.objectiveMs),
       domain: job.location.kind === 'none' ? undefined : job.location.domain,
+      connected: job.location.kind === 'none' ? undefined : this.#connections.get(job.location.domain)?.isConnected,
       mayHaveStarted: job.mayHaveStarted
     })
     job.answer(answer)
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -14,6 +14,8 @@
   readonly #storeCalls = this.#createCounter('store_calls_total', 'Calls to the store by call and result', ['call', 'result'])
   readonly #startSeconds = this.#createHistogram('start_seconds', 'Time from a start order to the target\'s answer', ['answer'])
   readonly #superseded = this.#createCounter('superseded_total', 'Targets that reported a higher fencing token than the dispatcher\'s', [])
+  readonly #secondRuns = this.#createCounter('second_runs_total', 'Runs that a target listed while another run of their task might exist', [])
+  readonly #releasedTasks = this.#createCounter('released_tasks_total', 'Tasks that may start again after a takeover, by the evidence that their earlier runs have ended', ['evidence'])
   readonly #waitSeconds = this.#createHistogram('wait_seconds', 'Time from acceptance to the first start, as predicted at admission and as measured', ['kind'])
   readonly #answerSeconds = this.#createHistogram('answer_seconds', 'Time from acceptance of a job to the answer to its caller', ['outcome'])
 
@@ -34,6 +36,14 @@
     this.#superseded.inc()
   }
 
+  override countSecondRun (): void {
+    this.#secondRuns.inc()
+  }
+
+  override countReleasedTasks (evidence: string, count: number): void {
+    this.#releasedTasks.inc({ evidence }, count)
+  }
+
   override observeQueueWait (predictedMs: number, actualMs: number): void {
     this.#waitSeconds.observe({ kind: 'predicted' }, predictedMs / 1_000)
     this.#waitSeconds.observe({ kind: 'real' }, actualMs / 1_000)
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -85,7 +85,10 @@
 
   override onRunDiscovered (session: TargetSession, run: Run): void {
     const { job, task } = this.#state.findTask(run.task)
-    if (this.#state.runs.has(run.task) || task?.state === 'done') {
+    const known = this.#state.runs.get(run.task)
+    if (known !== undefined || task?.state === 'done') {
+      this.#state.metrics.countSecondRun()
+      this.#state.log('belief', 'second-run-discovered', { task: run.task, attempt: run.attempt, target: session.info.id, knownTarget: known?.session.info.id, knownAttempt: known?.run.attempt, knownState: known?.run.state ?? task?.state })
       session.stopRun(run)
       return
     }
