Don't take the end of a second run of a task for the end of the first

Runs were removed by the name of their task. When a target listed a second run of a task (an order carried out late, or a run that a successor learned of after it had started the task elsewhere), the dispatcher stopped it, and its end removed the record of the run that went on: the task was started again beside it, which was discovered as a second run in turn.

Runs are now removed by identity. A second run is tracked until its end, takes the place of the first when that ends earlier, and a task waits until none of its runs is left.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -51,6 +51,8 @@
   readonly unlocatedJobs = new Set<DispatchedJob>()
   /** The run of each task that exists or may exist at a target, by task name. */
   readonly runs = new Map<string, ActiveRun>()
+  /** Further runs of tasks that have an entry in `runs`, by task name; they are being stopped. */
+  readonly #secondRuns = new Map<string, readonly ActiveRun[]>()
   readonly owners = new OwnerRegistry()
   readonly unclaimedRuns: UnclaimedRuns
   readonly #clock: Clock
@@ -127,18 +129,50 @@
     if (job.hasStartableTask()) this.queue.add(job)
   }
 
-  /** Returns a task to the queue after its run is known to have ended or not to have started. */
-  requeueTask (name: string): void {
-    this.removeRun(name)
-    const { job, task } = this.findTask(name)
+  /** Returns the task of a run to the queue once that run, and any other run of the task, is known to have ended or not to have started. */
+  requeueTask (run: Run): void {
+    if (!this.removeRun(run)) return
+    const { job, task } = this.findTask(run.task)
     if (job === undefined || task?.state !== 'running') return
     task.state = 'waiting'
     this.queue.add(job)
   }
 
-  removeRun (name: string): void {
-    this.runs.delete(name)
-    this.unclaimedRuns.remove(name)
+  /** Stops a run that was discovered although the task has another one, and tracks it until its end. */
+  stopSecondRun (active: ActiveRun): void {
+    const { task } = active.run
+    this.#secondRuns.set(task, [...this.#secondRuns.get(task) ?? [], active])
+    active.session.stopRun(active.run)
+  }
+
+  /** Stops every run of a task. */
+  stopRunsOfTask (name: string): void {
+    const active = this.runs.get(name)
+    if (active !== undefined) active.session.stopRun(active.run)
+  }
+
+  /**
+   * Removes a run that has ended or not started. A second run of its task takes its place.
+   *
+   * @returns whether the task has no other run
+   */
+  removeRun (run: Run): boolean {
+    const others = (this.#secondRuns.get(run.task) ?? []).filter(other => other.run !== run)
+    if (this.runs.get(run.task)?.run !== run) {
+      this.#setSecondRuns(run.task, others)
+      return !this.runs.has(run.task)
+    }
+    const [next, ...rest] = others
+    this.#setSecondRuns(run.task, rest)
+    if (next === undefined) this.runs.delete(run.task)
+    else this.runs.set(run.task, next)
+    this.unclaimedRuns.remove(run.task)
+    return next === undefined
+  }
+
+  #setSecondRuns (task: string, runs: readonly ActiveRun[]): void {
+    if (runs.length === 0) this.#secondRuns.delete(task)
+    else this.#secondRuns.set(task, runs)
   }
 
   /**
@@ -176,9 +210,6 @@
   }
 
   #stopRuns (job: DispatchedJob): void {
-    for (const task of job.tasks) {
-      const active = this.runs.get(task.name)
-      if (active !== undefined) active.session.stopRun(active.run)
-    }
+    for (const task of job.tasks) this.stopRunsOfTask(task.name)
   }
 }
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -55,7 +55,7 @@
     this.#state.metrics.observeStartOrder(reason, now - run.sentAt)
     this.#state.log('order', 'start-rejected', { task: run.task, attempt: run.attempt, target: session.info.id, reason })
     if (reason === 'unhealthy' || reason === 'not-sent') session.health.suspend(now)
-    this.#state.requeueTask(run.task)
+    this.#state.requeueTask(run)
     this.#events.onChange()
   }
 
@@ -63,13 +63,14 @@
     this.#state.metrics.countRunEnd(how)
     this.#updateHealth(session, run, how)
     if (how !== 'done') this.#state.log('order', 'run-ended', { task: run.task, attempt: run.attempt, target: session.info.id, how, tookMs: Math.round(this.#state.now() - run.sentAt) })
-    this.#endTask(run.task, how)
+    const isLastRun = this.#state.removeRun(run)
+    this.#endTask(run.task, how, isLastRun)
   }
 
   override onRunLost (session: TargetSession, run: Run, reason: LossReason): void {
     this.#state.metrics.countRunEnd(reason)
     this.#state.log('order', 'run-lost', { task: run.task, attempt: run.attempt, target: session.info.id, reason, sentMsAgo: Math.round(this.#state.now() - run.sentAt) })
-    this.#state.requeueTask(run.task)
+    this.#state.requeueTask(run)
     this.#events.onChange()
   }
 
@@ -89,7 +90,8 @@
     if (known !== undefined || task?.state === 'done') {
       this.#state.metrics.countSecondRun()
       this.#state.log('belief', 'second-run-discovered', { task: run.task, attempt: run.attempt, target: session.info.id, knownTarget: known?.session.info.id, knownAttempt: known?.run.attempt, knownState: known?.run.state ?? task?.state })
-      session.stopRun(run)
+      if (known === undefined) session.stopRun(run)
+      else this.#state.stopSecondRun({ session, run })
       return
     }
     this.#state.runs.set(run.task, { session, run })
@@ -106,7 +108,7 @@
     if (how !== 'done' || this.#state.runs.has(name)) return
     const { job, task } = this.#state.findTask(name)
     if (job === undefined || task === undefined) this.#state.unclaimedRuns.addDone(name)
-    else if (task.state === 'unlocated') this.#endTask(name, how)
+    else if (task.state === 'unlocated') this.#endTask(name, how, true)
   }
 
   override onSuperseded (session: TargetSession): void {
@@ -140,21 +142,26 @@
     session.health.recordSuccess(estimateMs > 0 ? (now - run.sentAt) / estimateMs : 1)
   }
 
-  #endTask (name: string, how: EndKind): void {
-    this.#state.removeRun(name)
+  /** @param isLastRun - whether no other run of the task may exist */
+  #endTask (name: string, how: EndKind, isLastRun: boolean): void {
     this.#events.onChange()
     const { job, task } = this.#state.findTask(name)
     if (job === undefined || task === undefined || task.state === 'done') return
-    if (how === 'done') this.#state.finishTask(job, task)
-    else this.#retryTask(job, task, how)
+    if (how === 'done') {
+      this.#state.finishTask(job, task)
+      this.#state.stopRunsOfTask(name)
+    } else {
+      this.#retryTask(job, task, how, isLastRun)
+    }
   }
 
-  #retryTask (job: DispatchedJob, task: TaskRecord, how: EndKind): void {
+  #retryTask (job: DispatchedJob, task: TaskRecord, how: EndKind, isLastRun: boolean): void {
     if (how === 'failed') task.failures++
     if (task.failures >= job.spec.maxAttempts) {
       this.#state.endJob(job, { kind: 'failed', reason: 'attempts-used' })
       return
     }
+    if (!isLastRun) return
     task.state = 'waiting'
     this.#state.queue.add(job)
   }
