Let no run outlive its owner's last sign of life by the resubmission time

A caller whose instance is lost sends its job again after 1.3 s, through any instance; one that has no connection to the dispatcher that holds the earlier run takes the job for a new one.

Cause: leases were renewed whatever was known of a run's owner. A lost owner was noticed by a timer after 0.6 to 0.75 s, its jobs were dropped 0.4 s later, and only then stops were sent; a successor renewed the leases of runs that nobody had claimed for 0.7 s more. With a late timer, a lost stop order, or a takeover between the loss and the stop, the run lived past the repeat. No instance can know more than its connections tell it, so the end of the run must not depend on knowledge.

Now the leases form a chain: heartbeats carry the dispatcher's time to the owner and back, and the dispatcher extends the leases at a target, and starts tasks, only up to 1.25 s (the resubmission time less 50 ms) after the oldest time that the owners of the runs there are certain to have lived. While a target has a run that no owner claims, its leases are not extended. A paused dispatcher that wakes up starts nothing before its owners have answered it. Messages that waited in a socket confirm nothing newer than what their owner had heard. An owner may have several open connections; the end of an older one no longer ends the newer one.

Owners of the version before send no time back; their heartbeats count when they are handled.

--- a/packages/emulator/test/run-lifetime.test.ts
+++ b/packages/emulator/test/run-lifetime.test.ts
@@ -2,12 +2,21 @@
 import { describe, it } from 'node:test'
 import { EmulatedFleet } from '../src/index.js'
 
+/** Time in milliseconds after which a caller without an answer sends its job again. */
+const resubmitMs = 1_300
+
 async function startFleet (instancesPerDomain = 3): Promise<EmulatedFleet> {
   const fleet = new EmulatedFleet({ domains: ['a', 'b'], instancesPerDomain, targetsPerDomain: 4, seed: 1 })
   await fleet.advance(3_500)
   return fleet
 }
 
+/** Cuts off one endpoint from all others. */
+function isolate (fleet: EmulatedFleet, endpoint: string): void {
+  const others = [...fleet.instances.keys(), ...fleet.targets.keys(), 'store'].filter(other => other !== endpoint)
+  fleet.network.partition([endpoint], others)
+}
+
 describe('the lifetime of runs', () => {
   it('does not take the end of a discovered second run for the end of the known run', async () => {
     const fleet = await startFleet()
@@ -21,4 +30,18 @@
     assert.deepEqual(fleet.history.runs.map(run => run.target), [known.target, other.info.id])
     assert.deepEqual(fleet.history.runs.map(run => run.how), ['done', 'stopped'])
   })
+
+  it('ends the runs of an instance that lost power before its callers repeat their jobs, also when it was the dispatcher', async () => {
+    const fleet = await startFleet()
+    const lost = fleet.findDispatchingInstance('a')!
+    const { jobId } = fleet.submit(lost, 2, 5_000)
+    await fleet.advance(200)
+    assert.equal(fleet.history.runs.length, 2)
+    isolate(fleet, lost)
+    fleet.network.partition(['b-0'], ['a-0', 'a-1', 'a-2'])
+    await fleet.advance(resubmitMs)
+    fleet.submit('b-0', 2, 5_000, jobId)
+    await fleet.advance(3_000)
+    assert.deepEqual(fleet.history.listViolations(), [])
+  })
 })
--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -4,6 +4,7 @@
 import { type FleetMetrics } from './fleet-metrics.js'
 import { type JobOutcome, parseTaskName } from './job-types.js'
 import { OwnerRegistry } from './owner-registry.js'
+import { type FleetLimits } from './limits.js'
 import { type Run } from './run.js'
 import { type TargetSession } from './target-session.js'
 import { UnclaimedRuns } from './unclaimed-runs.js'
@@ -11,6 +12,12 @@
 /** Time in milliseconds after a takeover within which the owners resubmit their jobs. */
 const adoptionWindowMs = 400
 
+/**
+ * Time in milliseconds before a resubmission at which the job's earlier runs must have ended; covers
+ * the delivery of the last lease and the slowest clock.
+ */
+const runEndMarginMs = 50
+
 /** Time in milliseconds for which the outcome of a job is kept for an owner that reconnects. */
 const outcomeRetentionMs = 5_000
 
@@ -56,13 +63,15 @@
   readonly owners = new OwnerRegistry()
   readonly unclaimedRuns: UnclaimedRuns
   readonly #clock: Clock
+  readonly #limits: FleetLimits
   readonly #log: EventLog
   readonly #metrics: FleetMetrics
   readonly #outcomes = new Map<string, RecordedOutcome>()
   #unreportedDone = new Map<string, number[]>()
 
-  constructor (clock: Clock, log: EventLog, metrics: FleetMetrics) {
+  constructor (clock: Clock, limits: FleetLimits, log: EventLog, metrics: FleetMetrics) {
     this.#clock = clock
+    this.#limits = limits
     this.#log = log
     this.#metrics = metrics
     this.unclaimedRuns = new UnclaimedRuns(clock.now() + adoptionWindowMs)
@@ -99,6 +108,33 @@
     this.#unreportedDone.delete(job.id)
   }
 
+  /**
+   * Computes until when runs of a job may be kept alive. An owner that is lost can't cancel its jobs,
+   * and its callers send them again through any instance after the resubmission time, so no run may
+   * outlive the last sign of life of its owner by that time.
+   *
+   * @returns monotonic time in milliseconds
+   */
+  computeRunLimit (job: DispatchedJob): number {
+    return this.owners.getConfirmedAt(job.ownerId) + this.#limits.resubmitMs - runEndMarginMs
+  }
+
+  /**
+   * Computes until when the leases at a target may be extended; a lease applies to all its runs.
+   *
+   * @returns monotonic time in milliseconds; `-Infinity` while the target has a run that no owner claims
+   */
+  computeLeaseLimit (session: TargetSession): number {
+    let limit = Infinity
+    for (const run of session.runs.values()) {
+      // Its end is due, whatever its lease.
+      if (run.stopAcceptedAt !== undefined) continue
+      const { job } = this.findTask(run.task)
+      limit = Math.min(limit, job === undefined ? -Infinity : this.computeRunLimit(job))
+    }
+    return limit
+  }
+
   /** Removes a job without an outcome and stops its runs. */
   dropJob (job: DispatchedJob, reason: string): void {
     this.removeJob(job)
--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -81,6 +81,8 @@
   #lingering: ReadonlySet<string> = new Set()
   #disconnectedAt: number
   #lastMessageAt = 0
+  /** Newest `sentAt` that was received on the current stream. */
+  #heardSentAt: number | undefined
   #holder: Endpoint | undefined
   /** Whether the last attempt proved that the named holder no longer dispatches. */
   #isHolderGone = false
@@ -168,7 +170,7 @@
       this.#stream?.close('silent')
       return
     }
-    this.#stream?.send({ type: 'ping', configurationVersion: this.#options.relay.version } satisfies OwnerMessage)
+    this.#stream?.send({ type: 'ping', configurationVersion: this.#options.relay.version, ...(this.#heardSentAt === undefined ? {} : { heardSentAt: this.#heardSentAt }) } satisfies OwnerMessage)
   }
 
   #connect (): void {
@@ -239,7 +241,10 @@
     this.#lastMessageAt = this.#options.clock.now()
     switch (message.type) {
       case 'stopped': this.#previousHasEnded = true; return
-      case 'welcome': this.#handleWelcome(message.token, endpoint); return
+      case 'welcome':
+        this.#heardSentAt = message.sentAt
+        this.#handleWelcome(message.token, endpoint)
+        return
       case 'not-dispatching': this.#stream?.close('not dispatching'); return
       case 'configuration': this.#options.relay.applyIfNewer(message, `dispatcher of ${this.domain}`); return
       case 'pong': this.#handlePong(message); return
@@ -266,6 +271,7 @@
 
   #handlePong (message: Extract<DispatcherMessage, { type: 'pong' }>): void {
     this.#load = message.load
+    this.#heardSentAt = message.sentAt
     if (message.lingering !== undefined) this.#lingering = new Set(message.lingering)
     const { current } = this.#options.relay
     if (current !== undefined && message.configurationVersion < current.version) this.send({ type: 'configuration', ...current })
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -73,7 +73,7 @@
     this.#options = options
     this.#token = options.token
     this.#startedAt = options.clock.now()
-    this.#state = new DispatchState(options.clock, options.log, options.metrics)
+    this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics)
     this.#intake = new JobIntake(this.#state)
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
     this.#tracker = new RunTracker(this.#state, options.limits.lateOrderMs, {
@@ -136,8 +136,9 @@
 
   /** Registers the connection of an owner and sends it the token. */
   addOwner (connection: OwnerConnection): void {
-    this.#state.owners.add(connection)
-    connection.send({ type: 'welcome', token: this.#token })
+    const now = this.#state.now()
+    this.#state.owners.add(connection, now)
+    connection.send({ type: 'welcome', token: this.#token, sentAt: now })
   }
 
   /** Handles the end of an owner's connection. Its jobs are kept for a while in case it reconnects. */
@@ -174,12 +175,14 @@
   }
 
   #handleMessage (connection: OwnerConnection, message: OwnerMessage): void {
+    // Owners of an earlier version don't send back what they have heard.
+    this.#state.owners.confirm(connection, message.type === 'ping' ? message.heardSentAt ?? this.#state.now() : undefined)
     switch (message.type) {
       case 'submit': this.#intake.handleSubmission(connection, message, job => this.#findReleaseEvidence(job)); break
       case 'withdraw': this.#intake.withdraw(connection, message.jobId); break
       case 'cancel': this.#intake.cancel(connection, message.jobId, message.reason); break
       case 'cancel-any': this.#intake.cancelAny(connection, message.jobId); break
-      // The owner server handles these.
+      // The owner server handles the rest of these.
       case 'hello':
       case 'ping':
       case 'configuration':
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -29,7 +29,8 @@
 /** Messages from an owner to a dispatcher. */
 export type OwnerMessage =
   | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string }
-  | { readonly type: 'ping', readonly configurationVersion: number }
+  /** `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
+  | { readonly type: 'ping', readonly configurationVersion: number, readonly heardSentAt?: number }
   | ({ readonly type: 'submit' } & Submission)
   | { readonly type: 'withdraw', readonly jobId: string }
   | { readonly type: 'cancel', readonly jobId: string, readonly reason: string }
@@ -39,12 +40,16 @@
 
 /** Messages from a dispatcher to an owner. */
 export type DispatcherMessage =
-  | { readonly type: 'welcome', readonly token: number }
+  /** `sentAt` is the dispatcher's monotonic time in milliseconds; earlier versions omit it. */
+  | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number }
   /** The dispatcher has stopped: it sends no more orders and renews no leases. */
   | { readonly type: 'stopped' }
   | { readonly type: 'not-dispatching', readonly incarnation: string }
-  /** `lingering` holds the ids of jobs that a resubmission may concern; it is absent if they have not changed. */
-  | { readonly type: 'pong', readonly load: LoadSummary, readonly lingering?: readonly string[], readonly configurationVersion: number }
+  /**
+   * `lingering` holds the ids of jobs that a resubmission may concern; it is absent if they have not changed.
+   * `sentAt` is the dispatcher's monotonic time in milliseconds; earlier versions omit it.
+   */
+  | { readonly type: 'pong', readonly sentAt?: number, readonly load: LoadSummary, readonly lingering?: readonly string[], readonly configurationVersion: number }
   | { readonly type: 'started', readonly jobIds: readonly string[] }
   | { readonly type: 'progress', readonly jobId: string, readonly done: readonly number[] }
   | { readonly type: 'ended', readonly jobId: string, readonly outcome: JobOutcome }
--- a/packages/fleet/src/owner-registry.ts
+++ b/packages/fleet/src/owner-registry.ts
@@ -10,22 +10,38 @@
   abstract send (message: DispatcherMessage): void
 }
 
+/** What is known of one owner. Times are the dispatcher's monotonic time in milliseconds. */
+interface OwnerRecord {
+  /** Open connections in the order in which they were accepted; messages go to the newest. */
+  readonly connections: OwnerConnection[]
+  /** Time at which the owner is certain to have lived, because it has received a message that was sent then. */
+  confirmedAt: number
+  /** Time at which the last connection closed; undefined while one is open. */
+  disconnectedAt: number | undefined
+}
+
 /** The owners that have jobs at a dispatcher or are connected to it. */
 export class OwnerRegistry {
-  readonly #connections = new Map<string, OwnerConnection>()
-  readonly #disconnectedAt = new Map<string, number>()
+  readonly #owners = new Map<string, OwnerRecord>()
+  readonly #welcomedAt = new Map<OwnerConnection, number>()
 
-  /** Adds a connection; it replaces an earlier one of the same owner. */
-  add (connection: OwnerConnection): void {
-    this.#connections.set(connection.ownerId, connection)
-    this.#disconnectedAt.delete(connection.ownerId)
+  /** Adds a connection whose owner is welcomed now. */
+  add (connection: OwnerConnection, now: number): void {
+    const owner = this.#owners.get(connection.ownerId) ?? { connections: [], confirmedAt: -Infinity, disconnectedAt: undefined }
+    this.#owners.set(connection.ownerId, owner)
+    owner.connections.push(connection)
+    owner.disconnectedAt = undefined
+    this.#welcomedAt.set(connection, now)
   }
 
-  /** Removes a closed connection and starts the owner's grace time, unless a newer connection has replaced it. */
+  /** Removes a closed connection, and starts the owner's grace time if it was the last one. */
   remove (connection: OwnerConnection, now: number): void {
-    if (this.#connections.get(connection.ownerId) !== connection) return
-    this.#connections.delete(connection.ownerId)
-    this.#disconnectedAt.set(connection.ownerId, now)
+    this.#welcomedAt.delete(connection)
+    const owner = this.#owners.get(connection.ownerId)
+    const index = owner?.connections.indexOf(connection) ?? -1
+    if (owner === undefined || index < 0) return
+    owner.connections.splice(index, 1)
+    if (owner.connections.length === 0) owner.disconnectedAt = now
   }
 
   /**
@@ -33,23 +49,39 @@
    * as disconnected since time 0 of the clock, so that it expires.
    */
   trackOwner (ownerId: string): void {
-    if (!this.#connections.has(ownerId) && !this.#disconnectedAt.has(ownerId)) this.#disconnectedAt.set(ownerId, 0)
+    if (!this.#owners.has(ownerId)) this.#owners.set(ownerId, { connections: [], confirmedAt: -Infinity, disconnectedAt: 0 })
+  }
+
+  /**
+   * Records a message of an owner, which proves that the owner has received what was sent before it.
+   * The time at which the message is handled proves nothing: it may have waited while this process
+   * was paused.
+   *
+   * @param heardSentAt - send time of the newest message that the owner has received; by default that of the welcome
+   */
+  confirm (connection: OwnerConnection, heardSentAt = this.#welcomedAt.get(connection)): void {
+    const owner = this.#owners.get(connection.ownerId)
+    if (owner !== undefined && heardSentAt !== undefined) owner.confirmedAt = Math.max(owner.confirmedAt, heardSentAt)
+  }
+
+  /** @returns the time at which the owner is certain to have lived; `-Infinity` for an unknown owner */
+  getConfirmedAt (ownerId: string): number {
+    return this.#owners.get(ownerId)?.confirmedAt ?? -Infinity
   }
 
   isConnected (ownerId: string): boolean {
-    return this.#connections.has(ownerId)
+    return (this.#owners.get(ownerId)?.connections.length ?? 0) > 0
   }
 
   /** Sends a message to an owner; drops it if the owner is not connected. */
   send (ownerId: string, message: DispatcherMessage): void {
-    this.#connections.get(ownerId)?.send(message)
+    this.#owners.get(ownerId)?.connections.at(-1)?.send(message)
   }
 
   /** @returns owners that have been disconnected for longer than the grace time; each is returned once */
   takeExpired (now: number): readonly string[] {
-    const expired: string[] = []
-    for (const [ownerId, disconnectedAt] of this.#disconnectedAt) if (now - disconnectedAt > reconnectGraceMs) expired.push(ownerId)
-    for (const ownerId of expired) this.#disconnectedAt.delete(ownerId)
+    const expired = [...this.#owners].filter(([, { disconnectedAt }]) => disconnectedAt !== undefined && now - disconnectedAt > reconnectGraceMs).map(([ownerId]) => ownerId)
+    for (const ownerId of expired) this.#owners.delete(ownerId)
     return expired
   }
 }
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -166,9 +166,12 @@
     connection.lastMessageAt = this.#clock.now()
     const dispatcher = this.#dispatchers.get(this.#connections.get(connection) ?? '')
     if (dispatcher === undefined) return
+    if (message.type === 'configuration') {
+      this.#relay.applyIfNewer(message, `instance ${connection.instance}`)
+      return
+    }
+    dispatcher.enqueueMessage(connection, message)
     if (message.type === 'ping') this.#sendPong(connection, dispatcher, message.configurationVersion)
-    else if (message.type === 'configuration') this.#relay.applyIfNewer(message, `instance ${connection.instance}`)
-    else dispatcher.enqueueMessage(connection, message)
   }
 
   #sendPong (connection: StreamConnection, dispatcher: Dispatcher, configurationVersion: number): void {
@@ -176,7 +179,7 @@
     const text = lingering.join()
     const isChanged = text !== connection.lastSentLingering
     connection.lastSentLingering = text
-    connection.send({ type: 'pong', load: dispatcher.summarizeLoad(), configurationVersion: this.#relay.version, ...(isChanged ? { lingering } : {}) })
+    connection.send({ type: 'pong', sentAt: this.#clock.now(), load: dispatcher.summarizeLoad(), configurationVersion: this.#relay.version, ...(isChanged ? { lingering } : {}) })
     const { current } = this.#relay
     if (current === undefined || configurationVersion >= current.version || connection.lastSentConfigurationVersion === current.version) return
     connection.lastSentConfigurationVersion = current.version
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -121,6 +121,10 @@
     this.#events.onChange()
   }
 
+  override getLeaseLimit (session: TargetSession): number {
+    return this.#state.computeLeaseLimit(session)
+  }
+
   override onError (error: unknown): void {
     this.#state.logError('target-session', error)
   }
--- a/packages/fleet/src/session-observer.ts
+++ b/packages/fleet/src/session-observer.ts
@@ -30,6 +30,8 @@
   abstract onUnknownRunEnded (session: TargetSession, task: string, how: EndKind): void
   /** The target refused a request because this dispatcher is fenced by a higher token. */
   abstract onSuperseded (session: TargetSession): void
+  /** @returns monotonic time in milliseconds up to which the leases of the target's runs may be extended */
+  abstract getLeaseLimit (session: TargetSession): number
   /** An unexpected error occurred in the session. */
   abstract onError (error: unknown): void
   /** The reachability, the incarnation or the free capacity of the target may have changed. */
--- a/packages/fleet/src/target-clock.ts
+++ b/packages/fleet/src/target-clock.ts
@@ -35,12 +35,14 @@
   }
 
   /**
+   * @param limitAt - local time by which the lease must have ended, even if the target's clock is slow
    * @returns the end, on the target's clock, of a lease of `leaseMs` that begins when the order
-   *   arrives; undefined before the first reply
+   *   arrives; undefined before the first reply and when the limit has passed
    */
-  computeLeaseEnd (now: number, leaseMs: number): number | undefined {
-    if (this.#clockMs === undefined) return undefined
-    return Math.ceil(this.#clockMs + (now - this.#sentAt) + leaseMs)
+  computeLeaseEnd (now: number, leaseMs: number, limitAt = Infinity): number | undefined {
+    if (this.#clockMs === undefined || limitAt <= now) return undefined
+    const longest = Math.ceil(this.#clockMs + (now - this.#sentAt) + leaseMs)
+    return Math.min(longest, this.estimateLowerBound(now)! + Math.floor((limitAt - now) * slowestClockRate))
   }
 
   /** Records a lease end that an order requests, whether or not the order arrives. */
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -14,8 +14,8 @@
 /** Time in milliseconds beyond the requested wait within which a target must answer a poll. */
 const pollTimeoutMs = 250
 
-/** Time in milliseconds within which a start order must reach the target; a later one is refused. */
-const startWindowMs = 300
+/** Time in milliseconds within which a start order must reach the target, and for which it extends leases there; a later one is refused. */
+export const startWindowMs = 300
 
 /** Fraction of the longest lease that a poll may wait, so that two polls fit into a lease. */
 const pollWaitFraction = 0.45
@@ -216,7 +216,7 @@
     const sentAt = this.#clock.now()
     // Polls of an unresponsive target extend no leases: over a path that works in one direction only, they
     // would keep runs alive whose ends cannot be seen.
-    const leaseUntil = this.#silent ? undefined : this.#targetClock.computeLeaseEnd(sentAt, this.#limits.maxLeaseMs)
+    const leaseUntil = this.#silent ? undefined : this.#targetClock.computeLeaseEnd(sentAt, this.#limits.maxLeaseMs, this.#observer.getLeaseLimit(this))
     if (leaseUntil !== undefined) this.#targetClock.recordLeaseEnd(leaseUntil)
     const reply = await this.#connection.poll({ token: this.#readToken(), lastSeenEnd: this.#lastSeenEnd, waitMs, ...(leaseUntil === undefined ? {} : { leaseUntil }) }, waitMs + pollTimeoutMs)
     if (this.#closed) return false
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -3,7 +3,7 @@
 import { parseTaskName } from './job-types.js'
 import { type Candidate, pickTarget } from './placement.js'
 import { sortQueue } from './queue-order.js'
-import { type TargetSession } from './target-session.js'
+import { startWindowMs, type TargetSession } from './target-session.js'
 import { type TargetInfo } from './target-types.js'
 
 /** Attempt numbers reserved per token for each task, so that numbers under later tokens are higher. */
@@ -43,17 +43,27 @@
   }
 
   #startTasksOf (job: DispatchedJob, candidates: readonly SessionCandidate[], now: number): void {
+    if (this.#state.computeRunLimit(job) < now + startWindowMs) return
     for (const task of job.tasks) {
       if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex)) continue
-      const usable = candidates.filter(candidate => candidate.session.isUsable(now))
-      const countRunsOfStep = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.stepIndex)
-      const target = pickTarget(usable, job.spec.service, job.getStep(task), countRunsOfStep, this.#remoteFactor)
+      const target = this.#pickTarget(job, task, candidates, now)
       if (target !== undefined) this.#startTask(job, task, target.session)
       // Tasks of one step are equal: if one does not fit anywhere, the others do not either.
       else if (job.spec.steps.length === 1) return
     }
   }
 
+  /** A start order also extends the leases of the target's other runs, so the target must not have one whose owner may be lost. */
+  #pickTarget (job: DispatchedJob, task: TaskRecord, candidates: readonly SessionCandidate[], now: number): SessionCandidate | undefined {
+    const countRunsOfStep = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.stepIndex)
+    let usable = candidates.filter(candidate => candidate.session.isUsable(now))
+    for (;;) {
+      const target = pickTarget(usable, job.spec.service, job.getStep(task), countRunsOfStep, this.#remoteFactor)
+      if (target === undefined || this.#state.computeLeaseLimit(target.session) >= now + startWindowMs) return target
+      usable = usable.filter(candidate => candidate !== target)
+    }
+  }
+
   #startTask (job: DispatchedJob, task: TaskRecord, session: TargetSession): void {
     if (!job.started) this.#state.metrics.observeQueueWait(job.predictedWaitMs, this.#state.now() - job.receivedAt)
     task.starts++
--- a/packages/fleet/test/target-session.test.ts
+++ b/packages/fleet/test/target-session.test.ts
@@ -38,6 +38,7 @@
   override onRunDiscovered (): void { this.events.push('found') }
   override onUnknownRunEnded (): void {}
   override onSuperseded (): void {}
+  override getLeaseLimit (): number { return Infinity }
   override onError (error: unknown): void { throw error }
   override onTargetChanged (): void {}
 }
