Drop jobs that their owner gave up while its connection was broken

When it reconnected within the grace time, the dispatcher took the job for one that is still owned and ran it to its end, long after the caller might have sent it again through another instance.

An owner submits all its jobs again when it is welcomed, before its next heartbeat. After that heartbeat the dispatcher drops the jobs whose submission came over a connection that has closed.

--- a/packages/emulator/test/run-lifetime.test.ts
+++ b/packages/emulator/test/run-lifetime.test.ts
@@ -44,4 +44,20 @@
     await fleet.advance(3_000)
     assert.deepEqual(fleet.history.listViolations(), [])
   })
+
+  it('ends the runs of a job that its owner gave up while its connection to the dispatcher was broken', async () => {
+    const fleet = await startFleet()
+    const holder = fleet.findDispatchingInstance('a')!
+    const owner = ['a-0', 'a-1', 'a-2'].find(instance => instance !== holder)!
+    const job = fleet.submit(owner, 2, 5_000)
+    await fleet.advance(200)
+    fleet.network.partition([owner], [holder])
+    await fleet.advance(600)
+    job.abandon()
+    const abandonedAt = fleet.clock.now()
+    fleet.network.heal()
+    await fleet.advance(6_000)
+    assert.equal(fleet.history.runs.length, 2)
+    for (const run of fleet.history.runs) assert.ok(run.endedAt! - abandonedAt < resubmitMs, `${run.task} ended ${run.endedAt! - abandonedAt} ms after its owner gave it up`)
+  })
 })
--- a/packages/fleet/src/dispatched-job.ts
+++ b/packages/fleet/src/dispatched-job.ts
@@ -1,5 +1,6 @@
 import { estimateCriticalPathMs, formatTaskName, type JobSpec, type StepSpec } from './job-types.js'
 import { type Submission } from './messages.js'
+import { type OwnerConnection } from './owner-registry.js'
 import { type QueuedJob } from './queue-order.js'
 
 /**
@@ -31,7 +32,8 @@
   /** Time at which all runs that an earlier dispatcher started must have ended. */
   readonly earlierRunsEndAt: number
   readonly tasks: readonly TaskRecord[]
-  ownerId: string
+  /** Connection over which the owner submitted the job last. */
+  connection: OwnerConnection
   /** Whether a start order was sent for the job, or may have been sent by an earlier dispatcher. */
   started: boolean
   /** Wait for the first start that was predicted at admission, in milliseconds; 0 for adopted jobs. */
@@ -42,10 +44,10 @@
   readonly #stepOffsets: readonly number[]
   #remainingTasks: number
 
-  constructor (submission: Submission, ownerId: string, now: number) {
+  constructor (submission: Submission, connection: OwnerConnection, now: number) {
     const { job } = submission
     this.spec = job
-    this.ownerId = ownerId
+    this.connection = connection
     this.receivedAt = now
     this.earlierRunsEndAt = now + submission.quietInMs
     this.acceptedAt = now - submission.ageMs
@@ -59,6 +61,7 @@
   }
 
   get id (): string { return this.spec.id }
+  get ownerId (): string { return this.connection.ownerId }
   get priority (): number { return this.spec.priority }
 
   /** @returns whether all tasks have ended with `done` */
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -182,9 +182,9 @@
       case 'withdraw': this.#intake.withdraw(connection, message.jobId); break
       case 'cancel': this.#intake.cancel(connection, message.jobId, message.reason); break
       case 'cancel-any': this.#intake.cancelAny(connection, message.jobId); break
-      // The owner server handles the rest of these.
+      case 'ping': if (message.heardSentAt !== undefined) this.#state.owners.markAnswered(connection); break
+      // The owner server handles these.
       case 'hello':
-      case 'ping':
       case 'configuration':
     }
   }
@@ -274,6 +274,7 @@
     for (const ownerId of owners.takeExpired(now)) {
       for (const job of [...jobs.values()]) if (job.ownerId === ownerId) this.#state.dropJob(job, 'owner lost')
     }
+    for (const job of [...jobs.values()]) if (owners.hasGivenUp(job.connection)) this.#state.dropJob(job, 'given up by its owner')
     for (const name of unclaimedRuns.takeExpired(now)) {
       const active = runs.get(name)
       if (active === undefined) continue
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -47,7 +47,7 @@
       connection.send({ type: 'ended', jobId: submission.job.id, outcome })
       return
     }
-    const job = new DispatchedJob(submission, connection.ownerId, state.now())
+    const job = new DispatchedJob(submission, connection, state.now())
     if (this.#adoptKnownRuns(job)) job.started = true
     if (this.#hasUnconfirmedStart(job)) {
       connection.send({ type: 'ended', jobId: job.id, outcome: { kind: 'unknown', reason: 'start-unconfirmed' } })
@@ -113,7 +113,7 @@
 
   #attachOwner (connection: OwnerConnection, job: DispatchedJob): void {
     this.#state.log('job', 'job-attached', { job: job.id, owner: connection.ownerId, previous: job.ownerId })
-    job.ownerId = connection.ownerId
+    job.connection = connection
     this.#state.owners.trackOwner(connection.ownerId)
     if (job.started) connection.send({ type: 'started', jobIds: [job.id] })
     const done = job.listDone()
--- a/packages/fleet/src/owner-registry.ts
+++ b/packages/fleet/src/owner-registry.ts
@@ -24,6 +24,8 @@
 export class OwnerRegistry {
   readonly #owners = new Map<string, OwnerRecord>()
   readonly #welcomedAt = new Map<OwnerConnection, number>()
+  /** Open connections over which the owner has answered the welcome, so that it has submitted its jobs on them. */
+  readonly #answered = new Set<OwnerConnection>()
 
   /** Adds a connection whose owner is welcomed now. */
   add (connection: OwnerConnection, now: number): void {
@@ -37,6 +39,7 @@
   /** Removes a closed connection, and starts the owner's grace time if it was the last one. */
   remove (connection: OwnerConnection, now: number): void {
     this.#welcomedAt.delete(connection)
+    this.#answered.delete(connection)
     const owner = this.#owners.get(connection.ownerId)
     const index = owner?.connections.indexOf(connection) ?? -1
     if (owner === undefined || index < 0) return
@@ -61,7 +64,8 @@
    */
   confirm (connection: OwnerConnection, heardSentAt = this.#welcomedAt.get(connection)): void {
     const owner = this.#owners.get(connection.ownerId)
-    if (owner !== undefined && heardSentAt !== undefined) owner.confirmedAt = Math.max(owner.confirmedAt, heardSentAt)
+    if (owner === undefined || heardSentAt === undefined) return
+    owner.confirmedAt = Math.max(owner.confirmedAt, heardSentAt)
   }
 
   /** @returns the time at which the owner is certain to have lived; `-Infinity` for an unknown owner */
@@ -69,6 +73,20 @@
     return this.#owners.get(ownerId)?.confirmedAt ?? -Infinity
   }
 
+  /** Records that the owner has received the welcome on a connection, and submitted its jobs on it in reply. */
+  markAnswered (connection: OwnerConnection): void {
+    if (this.#welcomedAt.has(connection)) this.#answered.add(connection)
+  }
+
+  /**
+   * @param connection - the connection over which an owner submitted a job last
+   * @returns whether the owner has reconnected without submitting the job again, so that it no longer has it
+   */
+  hasGivenUp (connection: OwnerConnection): boolean {
+    if (this.#welcomedAt.has(connection)) return false
+    return this.#owners.get(connection.ownerId)?.connections.some(other => this.#answered.has(other)) === true
+  }
+
   isConnected (ownerId: string): boolean {
     return (this.#owners.get(ownerId)?.connections.length ?? 0) > 0
   }
