Trust answers of all listed targets only with a list that is current since the takeover

A successor that could not read the store for a while did not know of a target that had joined meanwhile, and started tasks that the earlier dispatcher had running there.

The list now counts only if it was read since the dispatcher began; a new dispatcher lists the targets at once, beside the call that waits for changes. Until then, and with the store away, the release waits for the leases of the earlier dispatcher as before.

--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -105,6 +105,14 @@
     return [...this.targets.values()].filter(target => target.info.domain === domain)
   }
 
+  /** Starts one more target in a domain and announces it in the store. */
+  addTarget (domain: string): void {
+    const id = `target-${domain}-${this.listTargets(domain).length}`
+    const info: TargetInfo = { id, address: id, service: 'lab', domain, draining: false, capacity: { processors: processorsPerTarget, memoryMb: 1_024, accelerators: 0 }, labels: [], revision: 0 }
+    this.targets.set(id, new EmulatedTarget(info, this.clock, this.history))
+    this.store.put(emulatedTargetTable, id, JSON.stringify(info))
+  }
+
   /** Announces in the store that a target leaves. */
   drainTarget (target: EmulatedTarget): void {
     this.history.recordDraining(target.info.id)
@@ -137,12 +145,7 @@
   }
 
   #addTargets (domain: string): void {
-    for (let index = 0; index < this.#options.targetsPerDomain; index++) {
-      const id = `target-${domain}-${index}`
-      const info: TargetInfo = { id, address: id, service: 'lab', domain, draining: false, capacity: { processors: processorsPerTarget, memoryMb: 1_024, accelerators: 0 }, labels: [], revision: 0 }
-      this.targets.set(id, new EmulatedTarget(info, this.clock, this.history))
-      this.store.put(emulatedTargetTable, id, JSON.stringify(info))
-    }
+    for (let index = 0; index < this.#options.targetsPerDomain; index++) this.addTarget(domain)
   }
 
   #createInstance (self: InstanceEntry): EmulatedInstance {
--- a/packages/emulator/test/run-lifetime.test.ts
+++ b/packages/emulator/test/run-lifetime.test.ts
@@ -60,4 +60,23 @@
     assert.equal(fleet.history.runs.length, 2)
     for (const run of fleet.history.runs) assert.ok(run.endedAt! - abandonedAt < resubmitMs, `${run.task} ended ${run.endedAt! - abandonedAt} ms after its owner gave it up`)
   })
+
+  it('starts no task elsewhere after a takeover while it runs at a target that the list of the successor does not name yet', async () => {
+    const fleet = await startFleet()
+    const holder = fleet.findDispatchingInstance('a')!
+    const others = ['a-0', 'a-1', 'a-2'].filter(instance => instance !== holder)
+    // Only the holder reads the store, so it alone learns of the new target.
+    for (const instance of others) fleet.network.partition([instance], ['store'])
+    for (const target of fleet.listTargets('a')) target.fault = 'rejects'
+    fleet.addTarget('a')
+    await fleet.advance(3_000)
+    fleet.submit(others[0]!, 2, 5_000)
+    await fleet.advance(300)
+    assert.deepEqual(fleet.history.runs.map(run => run.target), ['target-a-4', 'target-a-4'])
+    for (const target of fleet.listTargets('a')) target.fault = 'none'
+    fleet.network.heal()
+    fleet.instances.get(holder)!.election.leave().catch(assert.fail)
+    await fleet.advance(9_000)
+    assert.deepEqual(fleet.history.listViolations(), [])
+  })
 })
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -199,14 +199,16 @@
   /**
    * Releases unlocated tasks. After a takeover they wait until every target has answered a poll,
    * or until the leases of all runs of an earlier dispatcher have expired. The list entries of
-   * partitioned targets expire, so answers of all listed targets are enough only while the list is
-   * complete. A partitioned earlier dispatcher may continue for a while, so the owners state for how
+   * partitioned targets expire, and targets may have joined that only the earlier dispatcher knew of,
+   * so answers of all listed targets are enough only while the list is complete, and current since this
+   * dispatcher began. A partitioned earlier dispatcher may continue for a while, so the owners state for how
    * long the runs that it started may exist.
    */
   #releaseUnlocatedJobs (): void {
     if (!this.#allTargetsSeen) {
       const sessions = this.listSessions()
-      this.#allTargetsSeen = this.#options.isListComplete() && sessions.length > 0 && sessions.every(session => session.isSeen)
+      const isListCurrent = this.#state.now() - this.#options.measureListAgeMs() >= this.#startedAt
+      this.#allTargetsSeen = isListCurrent && this.#options.isListComplete() && sessions.length > 0 && sessions.every(session => session.isSeen)
     }
     for (const job of this.#state.unlocatedJobs) {
       const evidence = this.#findReleaseEvidence(job)
--- a/packages/fleet/src/table-watch.ts
+++ b/packages/fleet/src/table-watch.ts
@@ -66,6 +66,11 @@
     this.#run().catch((error: unknown) => { this.#log.logError(`watch of ${this.#table}`, error) })
   }
 
+  /** Lists the table at once, beside a call that may be waiting for changes. */
+  relist (): void {
+    this.#list(this.#clock.now()).catch((error: unknown) => { this.#log.logError(`list of ${this.#table}`, error) })
+  }
+
   close (): void {
     this.#closed = true
     this.#cancelPause?.()
@@ -86,8 +91,9 @@
   async #list (sentAt: number): Promise<string | undefined> {
     const reply = await this.#store.list(this.#table)
     if (reply.kind !== 'rows') return reply.message
-    this.#listedAt = sentAt
-    this.#currentAt = sentAt
+    if (this.#closed) return undefined
+    this.#listedAt = Math.max(this.#listedAt, sentAt)
+    this.#currentAt = Math.max(this.#currentAt, sentAt)
     // A reply older than the known revision must not restore outdated rows.
     if (this.#revision !== undefined && reply.revision < this.#revision) return undefined
     const isChanged = this.#applyList(reply.rows)
@@ -123,7 +129,9 @@
       this.#listedAt = -Infinity
       return undefined
     }
-    this.#currentAt = sentAt
+    this.#currentAt = Math.max(this.#currentAt, sentAt)
+    // A list that was read meanwhile contains these changes.
+    if (this.#revision !== undefined && reply.revision < this.#revision) return undefined
     this.#revision = Math.max(after, reply.revision)
     if (reply.changes.length === 0) return undefined
     for (const change of reply.changes) {
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -93,6 +93,8 @@
 
   addDispatcher (dispatcher: Dispatcher): void {
     this.#dispatchers.add(dispatcher)
+    // A new dispatcher may trust only a list that is not older than itself.
+    this.#watch?.relist()
     dispatcher.updateTargets(this.listTargets(dispatcher.domain))
   }
 
