--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -24,6 +24,9 @@
 /** Minimum progress in percent from which the speed of a run is estimated. */
 const minSpeedPercent = 10
 
+/** Remaining time in milliseconds below which leases that an owner's silence limits are logged. */
+const withheldLeaseMs = 500
+
 /** Callbacks from the run tracker to the dispatcher. */
 export interface TrackerEvents {
   /** Tasks may be able to start that were not before. */
@@ -37,6 +40,8 @@
   readonly #state: DispatchState
   readonly #events: TrackerEvents
   readonly #lateOrderMs: number
+  /** Sessions whose leases are about to end or are not extended. */
+  readonly #withheld = new WeakSet<TargetSession>()
 
   /** @param lateOrderMs - time in milliseconds after which an unanswered order can no longer be carried out */
   constructor (state: DispatchState, lateOrderMs: number, events: TrackerEvents) {
@@ -122,7 +127,9 @@
   }
 
   override getLeaseLimit (session: TargetSession): number {
-    return this.#state.computeLeaseLimit(session)
+    const limitAt = this.#state.computeLeaseLimit(session)
+    this.#logWithheldLeases(session, limitAt)
+    return limitAt
   }
 
   override onError (error: unknown): void {
@@ -137,6 +144,17 @@
     }
   }
 
+  /** Logs once when the leases at a target come close to their end because an owner of its runs may be lost. */
+  #logWithheldLeases (session: TargetSession, limitAt: number): void {
+    const remainingMs = limitAt - this.#state.now()
+    if (remainingMs >= withheldLeaseMs) {
+      this.#withheld.delete(session)
+    } else if (!this.#withheld.has(session)) {
+      this.#withheld.add(session)
+      this.#state.log('belief', 'leases-withheld', { target: session.info.id, runs: session.runs.size, ...(Number.isFinite(remainingMs) ? { remainingMs: Math.round(remainingMs) } : { unclaimed: true }) })
+    }
+  }
+
   #updateHealth (session: TargetSession, run: Run, how: EndKind): void {
     const now = this.#state.now()
     if (how === 'failed') session.health.recordFailure(now, parseTaskName(run.task)?.jobId ?? run.task)
