Keep the longest time that the runs of earlier dispatchers may exist

After two takeovers in a row, an owner told the second successor only the quiet time of the last dispatcher, 1,070 ms in the test, where 2,000 ms of the one before, which might still run, were left. The later of the two times now counts.

--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -259,7 +259,8 @@
       return
     }
     const isNew = token !== this.#token
-    if (isNew) this.#earlierRunsEndAt = this.#disconnectedAt + (this.#previousHasEnded ? endedDispatcherRunExpiryMs : lostDispatcherRunExpiryMs)
+    // The runs of an even earlier dispatcher may last longer than those of the last one.
+    if (isNew) this.#earlierRunsEndAt = Math.max(this.#earlierRunsEndAt, this.#disconnectedAt + (this.#previousHasEnded ? endedDispatcherRunExpiryMs : lostDispatcherRunExpiryMs))
     this.#previousHasEnded = false
     this.#connected = true
     this.#isHolderGone = false
--- /dev/null
+++ b/packages/fleet/test/connection-fixture.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict'
+import { flushMicrotasks, ManualClock } from '@sesamereel/coordination'
+import { ConfigurationRelay, type Directory, type DispatcherEntry, DispatcherConnection, DispatcherConnectionObserver, type InstanceEntry, LocalDispatcherRegistry, NoopLog, PeerConnector, type PeerHandler, type PeerOpenResult } from '../src/index.js'
+
+class NoLocalDispatchers extends LocalDispatcherRegistry {
+  override hasDispatcher (): boolean { return false }
+  override open (): undefined {}
+}
+
+class SilentObserver extends DispatcherConnectionObserver {
+  override onConnected (): void {}
+  override onDisconnected (): void {}
+  override onDispatcherMessage (): void {}
+  override onLoadChanged (): void {}
+}
+
+/** Connects to whatever dispatcher the test has made the holder; each address may be up, refused or unreachable. */
+class FakePeers extends PeerConnector {
+  readonly tokens = new Map<string, number | 'refused'>()
+  handler: PeerHandler | undefined
+
+  override async open (address: string, timeoutMs: number, handler: PeerHandler): Promise<PeerOpenResult> {
+    const token = this.tokens.get(address)
+    if (token === undefined) return { kind: 'unreachable', message: 'timeout' }
+    if (token === 'refused') return { kind: 'refused', message: 'ECONNREFUSED' }
+    this.handler = handler
+    return {
+      kind: 'open',
+      stream: {
+        send: message => { if ((message as { type: string }).type === 'hello') queueMicrotask(() => { handler.onMessage({ type: 'welcome', token }) }) },
+        close: () => {}
+      }
+    }
+  }
+}
+
+export interface ConnectionFixture {
+  readonly clock: ManualClock
+  readonly peers: FakePeers
+  readonly connection: DispatcherConnection
+  /** Puts an instance into the domain's row and connects to it. */
+  readonly follow: (instance: string, revision: number) => Promise<void>
+}
+
+/** Creates a connection of an instance that knows no dispatcher yet. */
+export function createConnection (): ConnectionFixture {
+  const clock = new ManualClock()
+  const peers = new FakePeers()
+  const self: InstanceEntry = { instance: 'self', incarnation: 'self-1', domain: 'a', address: 'self', power: 1, startedMs: 0 }
+  let entry: DispatcherEntry | undefined
+  const directory = { findDispatcher: () => entry } as unknown as Directory
+  const connection = new DispatcherConnection({ domain: 'a', self, directory, connector: peers, local: new NoLocalDispatchers(), relay: new ConfigurationRelay(() => true), clock, log: new NoopLog(), observer: new SilentObserver() })
+  const follow = async (instance: string, revision: number): Promise<void> => {
+    entry = { domain: 'a', instance, incarnation: `${instance}-1`, address: instance, successors: [], revision }
+    peers.tokens.set(instance, revision * 16)
+    connection.refresh()
+    await flushMicrotasks()
+    assert.equal(connection.isConnected, true)
+  }
+  return { clock, peers, connection, follow }
+}
