Don't take a refused connection for the end of a dispatcher's runs

A partition may refuse connections although the process lives. The owner then gave the successor the time that holds after the end of a process, 1,170 ms. With the lease chain the runs of an owner end by the resubmission time (1,300 ms) in either case, so that is the time now.

--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -17,8 +17,12 @@
 /** Interval in milliseconds between attempts to connect; an attempt tries all known addresses. */
 const reconnectDelayMs = 60
 
-/** Time in milliseconds after the end of a dispatcher until all its leases have expired, including at targets with slow clocks. */
-const endedDispatcherRunExpiryMs = 1_170
+/**
+ * Time in milliseconds after the end of a dispatcher until all its leases have expired, including at
+ * targets with slow clocks. It also covers a dispatcher that goes on behind a partition that refuses
+ * connections: no run outlives the owner's last sign of life by the resubmission time.
+ */
+const endedDispatcherRunExpiryMs = 1_300
 
 /**
  * Time in milliseconds after the loss of a dispatcher that may still be running until no run that it
