Count an owner's grace time from its last message, not from its last attempt to connect

A slow dispatcher welcomes an owner too late; the owner closes and tries again, and each attempt began the grace time anew: after 2,340 ms no stop had been sent, while the owner goes to another domain after 2,300 ms. Only a message after the welcome now ends the grace time. Test: failed-reconnects-extend-grace.test.ts, which failed before.

--- a/packages/fleet/src/owner-registry.ts
+++ b/packages/fleet/src/owner-registry.ts
@@ -16,7 +16,7 @@
   readonly connections: OwnerConnection[]
   /** Time at which the owner is certain to have lived, because it has received a message that was sent then. */
   confirmedAt: number
-  /** Time at which the last connection closed; undefined while one is open. */
+  /** Time at which the last connection with a message of the owner closed; undefined while there is one. */
   disconnectedAt: number | undefined
 }
 
@@ -32,7 +32,6 @@
     const owner = this.#owners.get(connection.ownerId) ?? { connections: [], confirmedAt: -Infinity, disconnectedAt: undefined }
     this.#owners.set(connection.ownerId, owner)
     owner.connections.push(connection)
-    owner.disconnectedAt = undefined
     this.#welcomedAt.set(connection, now)
   }
 
@@ -44,7 +43,8 @@
     const index = owner?.connections.indexOf(connection) ?? -1
     if (owner === undefined || index < 0) return
     owner.connections.splice(index, 1)
-    if (owner.connections.length === 0) owner.disconnectedAt = now
+    // An owner whose attempts to reconnect fail gets no further grace time.
+    if (owner.connections.length === 0) owner.disconnectedAt ??= now
   }
 
   /**
@@ -66,6 +66,7 @@
     const owner = this.#owners.get(connection.ownerId)
     if (owner === undefined || heardSentAt === undefined) return
     owner.confirmedAt = Math.max(owner.confirmedAt, heardSentAt)
+    if (this.#welcomedAt.has(connection)) owner.disconnectedAt = undefined
   }
 
   /** @returns the time at which the owner is certain to have lived; `-Infinity` for an unknown owner */
@@ -99,7 +100,11 @@
   /** @returns owners that have been disconnected for longer than the grace time; each is returned once */
   takeExpired (now: number): readonly string[] {
     const expired = [...this.#owners].filter(([, { disconnectedAt }]) => disconnectedAt !== undefined && now - disconnectedAt > reconnectGraceMs).map(([ownerId]) => ownerId)
-    for (const ownerId of expired) this.#owners.delete(ownerId)
+    for (const ownerId of expired) {
+      const owner = this.#owners.get(ownerId)!
+      if (owner.connections.length === 0) this.#owners.delete(ownerId)
+      else owner.disconnectedAt = undefined
+    }
     return expired
   }
 }
