Count a job as started when a run of it is discovered

A repeated job waits at a successor, and a target then lists a run of it: the run was adopted, but the job still counted as not started, so it could be withdrawn, and its owner submitted it to another domain beside the run. Test: withdrawn-job-keeps-discovered-run.test.ts, which failed before.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -135,6 +135,13 @@
     return limit
   }
 
+  /** Records that a run of a job was found, and notifies its owner, who must not take the job for one that has not started. */
+  markStarted (job: DispatchedJob): void {
+    if (job.started) return
+    job.started = true
+    this.owners.send(job.ownerId, { type: 'started', jobIds: [job.id] })
+  }
+
   /** Removes a job without an outcome and stops its runs. */
   dropJob (job: DispatchedJob, reason: string): void {
     this.removeJob(job)
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -105,6 +105,7 @@
       return
     }
     task.state = 'running'
+    this.#state.markStarted(job)
     session.adoptRun(run, job.getStep(task).demand)
     this.#state.log('order', 'run-adopted', { job: job.id, task: run.task, attempt: run.attempt, target: session.info.id })
   }
