Let a draining target that disappears make the target list incomplete

A draining target whose row disappears may only have lost its path to the store and still have runs of an earlier dispatcher; a successor released the tasks of these runs at once. It now waits for the leases, as after the disappearance of any other target. Test: vanished-draining-target-completes-list.test.ts, which failed before.

--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -17,7 +17,7 @@
  */
 const missingEntryGraceMs = 2_000
 
-/** Time in milliseconds for which a target that disappeared without draining may come back with its runs. */
+/** Time in milliseconds for which a target that disappeared may still have runs; also a draining one may only have lost its path to the store. */
 const vanishedTargetRetentionMs = 30_000
 
 /** Time in milliseconds after the first list within which expired entries come back. */
@@ -40,7 +40,7 @@
   readonly #missingSince = new Map<string, number>()
   /** Keys of unreadable rows, each of which is logged once. */
   readonly #unreadable = new Set<string>()
-  /** Monotonic time in milliseconds at which targets disappeared without draining, by domain and id. */
+  /** Monotonic time in milliseconds at which targets disappeared, by domain and id. */
   readonly #vanishedAt = new Map<string, Map<string, number>>()
   #firstListAt: number | undefined
   #watch: TableWatch | undefined
@@ -81,8 +81,8 @@
   /**
    * Tells whether the list names every target of a domain that may hold runs.
    *
-   * @returns false before and shortly after the first list, and while targets that disappeared
-   *   without draining may come back
+   * @returns false before and shortly after the first list, and while targets that disappeared may
+   *   still have runs
    */
   isComplete (domain: string): boolean {
     const now = this.#clock.now()
@@ -127,7 +127,7 @@
   #recordVanished (targets: ReadonlyMap<string, TargetInfo>): void {
     const now = this.#clock.now()
     for (const [id, target] of this.#targets) {
-      if (targets.has(id) || target.draining) continue
+      if (targets.has(id)) continue
       const vanished = this.#vanishedAt.get(target.domain) ?? new Map<string, number>()
       this.#vanishedAt.set(target.domain, vanished)
       if (!vanished.has(id)) vanished.set(id, now)
