Don't take a table for current because of an outdated list reply

A list reply with a lower revision than the copy was discarded, but its time counted: after 5 s of only outdated replies the copy was 410 ms old. Takeovers now rely on that age.

--- a/packages/fleet/src/table-watch.ts
+++ b/packages/fleet/src/table-watch.ts
@@ -93,9 +93,9 @@
     if (reply.kind !== 'rows') return reply.message
     if (this.#closed) return undefined
     this.#listedAt = Math.max(this.#listedAt, sentAt)
-    this.#currentAt = Math.max(this.#currentAt, sentAt)
     // A reply older than the known revision must not restore outdated rows.
     if (this.#revision !== undefined && reply.revision < this.#revision) return undefined
+    this.#currentAt = Math.max(this.#currentAt, sentAt)
     const isChanged = this.#applyList(reply.rows)
     this.#revision = reply.revision
     if (isChanged) this.#observer.onRows(this.#rows, reply.revision)
@@ -129,9 +129,9 @@
       this.#listedAt = -Infinity
       return undefined
     }
-    this.#currentAt = Math.max(this.#currentAt, sentAt)
     // A list that was read meanwhile contains these changes.
     if (this.#revision !== undefined && reply.revision < this.#revision) return undefined
+    this.#currentAt = Math.max(this.#currentAt, sentAt)
     this.#revision = Math.max(after, reply.revision)
     if (reply.changes.length === 0) return undefined
     for (const change of reply.changes) {
