--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -63,8 +63,8 @@
   readonly #startedAt: number
   #listedTargetIds: ReadonlySet<string> = new Set()
   #token: number
-  /** Whether every target that may hold runs of an earlier dispatcher has answered a poll under this token. */
-  #allTargetsSeen = false
+  /** Whether the list has named every target that an earlier dispatcher may have used, at a time since this one began. */
+  #hasCompleteList = false
   #stopped = false
   #startsPaused = false
   #cancelMaintenance: (() => void) | undefined
@@ -205,11 +205,6 @@
    * long the runs that it started may exist.
    */
   #releaseUnlocatedJobs (): void {
-    if (!this.#allTargetsSeen) {
-      const sessions = this.listSessions()
-      const isListCurrent = this.#state.now() - this.#options.measureListAgeMs() >= this.#startedAt
-      this.#allTargetsSeen = isListCurrent && this.#options.isListComplete() && sessions.length > 0 && sessions.every(session => session.isSeen)
-    }
     for (const job of this.#state.unlocatedJobs) {
       const evidence = this.#findReleaseEvidence(job)
       if (evidence === undefined) continue
@@ -219,13 +214,23 @@
 
   /** @returns the evidence that no run of the job that an earlier dispatcher started can exist, apart from known ones */
   #findReleaseEvidence (job: DispatchedJob): ReleaseEvidence | undefined {
-    if (this.#allTargetsSeen) return 'targets-polled'
+    if (this.#haveAllTargetsAnswered()) return 'targets-polled'
     const leasesEndAt = this.#startedAt + this.#options.limits.maxLeaseMs + leaseExpiryMarginMs
     return this.#state.now() >= Math.max(leasesEndAt, job.earlierRunsEndAt) ? 'leases-expired' : undefined
   }
 
   #updateTarget (target: TargetInfo): void {
     const session = this.#state.sessions.get(target.id)
+  #haveAllTargetsAnswered (): boolean {
+    if (!this.#hasCompleteList) {
+      const isCurrent = this.#state.now() - this.#options.measureListAgeMs() >= this.#startedAt
+      if (!isCurrent || !this.#options.isListComplete()) return false
+      this.#hasCompleteList = true
+    }
+    const sessions = this.listSessions()
+    return sessions.length > 0 && sessions.every(session => session.isSeen)
+  }
+
     if (session !== undefined && session.info.address === target.address) {
       if (target.draining && !session.info.draining) this.#state.log('belief', 'target-draining', { target: target.id, revision: target.revision })
       session.updateInfo(target)
