Don't begin to dispatch again under a token that was fenced

When a successor without the store had fenced a dispatcher whose row still named it, that instance found its own name in the row and began again under the same token and attempt numbers, 10 times in 2 s in a trial. It now claims the domain by a write instead. Test: fenced-dispatcher-begins-again.test.ts, which failed before.

--- a/packages/fleet/src/dispatcher-election.ts
+++ b/packages/fleet/src/dispatcher-election.ts
@@ -55,6 +55,7 @@
   readonly #options: DispatcherElectionOptions
   readonly #connections = new Map<string, DispatcherConnection>()
   readonly #pendingClaims = new Set<string>()
+  readonly #endedTokens = new Map<string, number>()
   /** Time at which each domain's row first named its current holder, which gets time to become reachable. */
   readonly #holdersSince = new Map<string, { readonly revision: number, readonly at: number }>()
   #registrationTriedAt = -Infinity
@@ -132,8 +133,10 @@
     if (connection.isConnected || this.#pendingClaims.has(domain) || !directory.isLoaded || server.findDispatcher(domain) !== undefined) return
     const entry = directory.findDispatcher(domain)
     if (entry?.incarnation === self.incarnation) {
-      // A claim of this instance was committed although its reply was lost.
-      this.#becomeDispatcher(domain, entry.revision * tokensPerRevision, 'claim-found')
+      // A claim of this instance was committed although its reply was lost, or its dispatcher was fenced by one that the row does not name.
+      const token = entry.revision * tokensPerRevision
+      if (token > this.#getEndedToken(domain)) this.#becomeDispatcher(domain, token, 'claim-found')
+      else this.#beginClaim(domain, 'fenced')
       return
     }
     const unavailableMs = this.#measureUnavailableMs(domain)
@@ -226,7 +229,7 @@
   /** Starts a dispatcher for the domain, or raises the token of the one that is running. */
   #becomeDispatcher (domain: string, token: number, cause: string): void {
     const { server, targets, log, metrics } = this.#options
-    if (this.#isLeaving) return
+    if (this.#isLeaving || token <= this.#getEndedToken(domain)) return
     const known = server.findDispatcher(domain)
     if (known !== undefined) {
       known.raiseToken(token)
@@ -240,8 +243,14 @@
     this.#connections.get(domain)?.refresh()
   }
 
+  /** @returns the highest token of this instance's dispatchers of the domain that have ended; targets may know a higher one */
+  #getEndedToken (domain: string): number {
+    return this.#endedTokens.get(domain) ?? 0
+  }
+
   #stopDispatcher (dispatcher: Dispatcher, reason: string): void {
     if (dispatcher.isStopped) return
+    this.#endedTokens.set(dispatcher.domain, Math.max(dispatcher.token, this.#getEndedToken(dispatcher.domain)))
     this.#options.log.log('belief', 'dispatcher-ends', { domain: dispatcher.domain, token: dispatcher.token, reason })
     dispatcher.stop()
     this.#options.targets.removeDispatcher(dispatcher)
