Keep unanswered start orders beyond the session of their target

It was forgotten when the target left the list or changed its address, when another target answered at the address, when the stop that blocks it was rejected without a reason, and when the attempts of its task were numbered from 1 again. The runs of a target whose address changed counted as lapsed at once.

The dispatcher now keeps the orders for each target id; a session blocks them in the first view of each incarnation, until a stop is accepted or the order is too old to arrive. The session with the former address goes on until its runs have ended. The highest attempt of a task is kept.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -13,6 +13,7 @@
 import { TargetSession } from './target-session.js'
 import { type TargetConnector, type TargetInfo } from './target-types.js'
 import { TaskScheduler } from './task-scheduler.js'
+import { UnansweredOrders } from './unanswered-orders.js'
 
 /**
  * Interval in milliseconds of the periodic checks for late queued jobs, stale polls, lost owners
@@ -61,6 +62,7 @@
   readonly #scheduler: TaskScheduler
   readonly #mailbox: Mailbox<() => void>
   readonly #startedAt: number
+  readonly #unansweredOrders = new Map<string, UnansweredOrders>()
   #listedTargetIds: ReadonlySet<string> = new Set()
   #token: number
   /** Whether the list has named every target that an earlier dispatcher may have used, at a time since this one began. */
@@ -219,8 +221,6 @@
     return this.#state.now() >= Math.max(leasesEndAt, job.earlierRunsEndAt) ? 'leases-expired' : undefined
   }
 
-  #updateTarget (target: TargetInfo): void {
-    const session = this.#state.sessions.get(target.id)
   #haveAllTargetsAnswered (): boolean {
     if (!this.#hasCompleteList) {
       const isCurrent = this.#state.now() - this.#options.measureListAgeMs() >= this.#startedAt
@@ -231,18 +231,33 @@
     return sessions.length > 0 && sessions.every(session => session.isSeen)
   }
 
+  #updateTarget (target: TargetInfo): void {
+    const session = this.#state.sessions.get(target.id)
     if (session !== undefined && session.info.address === target.address) {
       if (target.draining && !session.info.draining) this.#state.log('belief', 'target-draining', { target: target.id, revision: target.revision })
       session.updateInfo(target)
       return
     }
-    if (session !== undefined) this.#dropSession(target.id, session)
+    if (session !== undefined) this.#retainFormerSession(session)
     const { connector, clock, limits } = this.#options
-    const added = new TargetSession(target, connector.connect(target), () => this.#token, clock, limits, this.#tracker)
+    const added = new TargetSession(target, connector.connect(target), () => this.#token, clock, limits, this.#tracker, this.#findUnansweredOrders(target.id))
     this.#state.sessions.set(target.id, added)
     added.start()
   }
 
+  /** Keeps the session with a target's former address until its runs have ended, as the process there may still live. */
+  #retainFormerSession (session: TargetSession): void {
+    session.updateInfo({ ...session.info, draining: true })
+    this.#state.sessions.set(`${session.info.id} at ${session.info.address}`, session)
+  }
+
+  /** @returns the orders that any session with the target has left unanswered */
+  #findUnansweredOrders (targetId: string): UnansweredOrders {
+    const orders = this.#unansweredOrders.get(targetId) ?? new UnansweredOrders(this.#options.limits.lateOrderMs)
+    this.#unansweredOrders.set(targetId, orders)
+    return orders
+  }
+
   /** Drops targets that are no longer listed once their runs have ended. */
   #dropUnlistedTargets (): void {
     for (const [id, session] of this.#state.sessions) {
@@ -253,7 +268,6 @@
   #dropSession (id: string, session: TargetSession): void {
     this.#state.sessions.delete(id)
     session.close()
-    for (const run of session.runs.values()) this.#tracker.onRunLost(session, run, 'lapsed')
     this.#state.log('belief', 'target-gone', { target: id, runs: session.runs.size })
   }
 
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -9,7 +9,7 @@
 import { TargetClock } from './target-clock.js'
 import { TargetHealth } from './target-health.js'
 import { type PollReply, type TargetConnection, type TargetInfo, type TargetView } from './target-types.js'
-import { type RunIdentity, UnansweredOrders } from './unanswered-orders.js'
+import { type UnansweredOrder, UnansweredOrders } from './unanswered-orders.js'
 
 /** Time in milliseconds beyond the requested wait within which a target must answer a poll. */
 const pollTimeoutMs = 250
@@ -67,15 +67,18 @@
   /** Number of runs whose demand is not known; the target counts as full while there are any. */
   #unknownDemandRunCount = 0
 
-  /** @param readToken - returns the dispatcher's current token */
-  constructor (info: TargetInfo, connection: TargetConnection, readToken: () => number, clock: Clock, limits: FleetLimits, observer: SessionObserver) {
+  /**
+   * @param readToken - returns the dispatcher's current token
+   * @param unansweredOrders - start orders that earlier sessions with the target have left unanswered
+   */
+  constructor (info: TargetInfo, connection: TargetConnection, readToken: () => number, clock: Clock, limits: FleetLimits, observer: SessionObserver, unansweredOrders = new UnansweredOrders(limits.lateOrderMs)) {
     this.#info = info
     this.#connection = connection
     this.#readToken = readToken
     this.#clock = clock
     this.#limits = limits
     this.#observer = observer
-    this.#unansweredOrders = new UnansweredOrders(limits.lateOrderMs)
+    this.#unansweredOrders = unansweredOrders
     this.#pollLoop = new PollLoop(clock, () => this.#chooseWait(), async waitMs => await this.#poll(waitMs))
   }
 
@@ -161,6 +164,7 @@
     const reply = await this.#connection.start({ task: run.task, attempt: run.attempt, payload, deadlineMs: run.startDeadlineMs, token: this.#readToken() }, this.#orderTimeout.timeoutMs)
     const now = this.#clock.now()
     if (reply.kind === 'accepted') this.#orderTimeout.record(now - run.sentAt)
+    if (reply.kind === 'no-answer') this.#unansweredOrders.record(run)
     if (this.#closed || !this.#isTracked(run)) return
     switch (reply.kind) {
       case 'accepted':
@@ -173,7 +177,6 @@
         // The order may still be carried out, until a stop is accepted or its deadline has passed.
         run.unanswered = true
         this.#unansweredRunCount++
-        this.#unansweredOrders.record(run)
         this.stopRun(run)
         return
       case 'not-sent':
@@ -257,7 +260,10 @@
       this.#endEarlierIncarnation()
       this.#observer.onTargetChanged(this, 'restarted')
     }
+    const isFirstOfIncarnation = this.#bornMs === undefined
     this.#bornMs = view.bornMs ?? this.#bornMs
+    // An earlier session with this incarnation, or with one before it, may have left orders unanswered.
+    if (isFirstOfIncarnation) this.#blockUnansweredOrders(now)
     this.#targetClock.recordReply(view.clockMs, sentAt, now)
     this.#lastViewAt = now
     this.#processEnds(view)
@@ -345,7 +351,12 @@
       if (run.acceptedAt !== undefined && run.acceptedAt <= this.#lastViewAt) this.#loseRun(run, 'restarted')
       else this.#stopInNewIncarnation(run)
     }
-    const orders = this.#unansweredOrders.list(this.#clock.now()).filter(order => !this.runs.has(formatRunKey(order.task, order.attempt)))
+    this.#blockUnansweredOrders(this.#clock.now())
+  }
+
+  /** Blocks the unanswered orders that belong to no run of this session. */
+  #blockUnansweredOrders (now: number): void {
+    const orders = this.#unansweredOrders.list(now).filter(order => !this.runs.has(formatRunKey(order.task, order.attempt)))
     for (const order of orders) this.#blockOrder(order, this.#bornMs).catch((error: unknown) => { this.#observer.onError(error) })
   }
 
@@ -358,14 +369,15 @@
   }
 
   /**
-   * Sends a stop order for an earlier start order until it is answered, the target restarts again
-   * or the session is closed.
+   * Sends a stop order for an earlier start order until it is accepted or the order can't arrive any
+   * more, the target restarts again or the session is closed.
    */
-  async #blockOrder (order: RunIdentity, bornMs: number | undefined): Promise<void> {
+  async #blockOrder (order: UnansweredOrder, bornMs: number | undefined): Promise<void> {
+    const { task, attempt } = order
     this.#unblockedOrderCount++
-    while (!this.#closed && this.#bornMs === bornMs) {
-      const reply = await this.#connection.stop({ ...order, token: this.#readToken() }, this.#orderTimeout.timeoutMs)
-      if (reply.kind === 'accepted' || reply.kind === 'rejected') break
+    while (!this.#closed && this.#bornMs === bornMs && this.#clock.now() - order.sentAt <= this.#limits.lateOrderMs) {
+      const reply = await this.#connection.stop({ task, attempt, token: this.#readToken() }, this.#orderTimeout.timeoutMs)
+      if (reply.kind === 'accepted' || (reply.kind === 'rejected' && reply.reason !== 'invalid')) break
       await new Promise<void>(resolve => { this.#clock.startTimer(stopRetryMs, resolve) })
     }
     this.#unblockedOrderCount--
--- a/packages/fleet/src/unanswered-orders.ts
+++ b/packages/fleet/src/unanswered-orders.ts
@@ -6,7 +6,8 @@
   readonly attempt: number
 }
 
-interface UnansweredOrder extends RunIdentity {
+/** A start order; `sentAt` is the local monotonic time in milliseconds at which it was sent. */
+export interface UnansweredOrder extends RunIdentity {
   readonly sentAt: number
 }
 
@@ -17,7 +18,7 @@
  */
 export class UnansweredOrders {
   readonly #lateOrderMs: number
-  /** The newest order of each task; a stop order also covers all earlier attempts. */
+  /** The highest attempt of each task; a stop order also covers all earlier attempts. */
   readonly #orders = new Map<string, UnansweredOrder>()
 
   /** @param lateOrderMs - time in milliseconds after which an unanswered order can no longer be carried out */
@@ -28,13 +29,15 @@
   /** Records the start order of a run as unanswered. */
   record (run: Run): void {
     this.#expire(run.sentAt)
+    // The attempts of a job that was dropped and submitted again are numbered from the start.
+    const attempt = Math.max(run.attempt, this.#orders.get(run.task)?.attempt ?? 0)
     // Deleting first keeps the map in the order in which the orders were sent.
     this.#orders.delete(run.task)
-    this.#orders.set(run.task, { task: run.task, attempt: run.attempt, sentAt: run.sentAt })
+    this.#orders.set(run.task, { task: run.task, attempt, sentAt: run.sentAt })
   }
 
   /** @returns the orders that may still be carried out */
-  list (now: number): readonly RunIdentity[] {
+  list (now: number): readonly UnansweredOrder[] {
     this.#expire(now)
     return [...this.#orders.values()]
   }
