Bench: split the scenario runner by kind of step

Change: one module for each of them; a table with a handler for each kind of step, complete by its type. formatCounts, the count by name, the message of an error and the main part of the two commands stood twice and stand once.

--- a/packages/bench/src/history.ts
+++ b/packages/bench/src/history.ts
@@ -1,5 +1,7 @@
 import { cac } from 'cac'
+import { runCommandLine } from './command-line.js'
 import { countBy, formatCounts } from './counts.js'
+import { describeStack } from './errors.js'
 import { type Invariant } from './history-records.js'
 import { runHistory } from './history-runner.js'
 import { computePeakParallelism } from './peak-parallelism.js'
@@ -48,10 +50,4 @@
   .option('--keep', 'Keep logs, records and the history of a run that fails')
   .action(async (options: Options) => await run(options))
 cli.help()
-try {
-  cli.parse(process.argv, { run: false })
-  process.exitCode = await (cli.runMatchedCommand() as Promise<number> | undefined) ?? 0
-} catch (error) {
-  process.stderr.write(`${error instanceof Error ? error.stack : String(error)}\n`)
-  process.exitCode = 2
-}
+await runCommandLine(cli, describeStack)
--- a/packages/bench/src/load-format.ts
+++ b/packages/bench/src/load-format.ts
@@ -1,3 +1,4 @@
+import { formatCounts } from './counts.js'
 import { type BenchReport } from './load-report.js'
 import { type Summary } from './load-samples.js'
 
@@ -26,13 +27,13 @@
     ]),
     '',
     ...formatRows([
-      ['jobs', formatCounts(report.outcomes)],
+      ['jobs', formatCounts(Object.entries(report.outcomes), 'list')],
       ['rate', `${report.answersPerSecond.toFixed(1)} answers/s, planned ${report.plannedJobsPerSecond.toFixed(1)} jobs/s, ${report.taskStartsPerSecond.toFixed(0)} task starts/s`],
       ['slots', `${(slots.busy * 100).toFixed(0)}% busy, ${(slots.work * 100).toFixed(0)}% of the work they could do, mean speed ${slots.meanSpeed.toFixed(2)} while running tasks, ${slots.capacitySpeed.toFixed(2)} of all slots`],
       ['messages', `wasted ${(messages.wastedPart * 100).toFixed(2)}%`],
-      ['  useful', formatCounts(messages.useful)],
-      ['  wasted', formatCounts(messages.wasted)],
-      ['  per answer', Object.entries(messages.overheadPerAnswer).map(([name, count]) => `${name} ${count.toFixed(2)}`).join(', ')],
+      ['  useful', formatCounts(Object.entries(messages.useful), 'list')],
+      ['  wasted', formatCounts(Object.entries(messages.wasted), 'list')],
+      ['  per answer', formatCounts(Object.entries(messages.overheadPerAnswer).map(([name, count]) => [name, count.toFixed(2)]), 'list')],
       ['forbidden starts', String(report.forbiddenStarts)],
       ['instances', `${entries.cores.toFixed(2)} cores, ${entries.startsPerCore.toFixed(0)} starts/s per core under this load, largest ${entries.largestResidentMb.toFixed(0)} MB`],
       ['zero-work starts', `${starts.startsPerCore.toFixed(0)} starts/s per core in one instance (${starts.starts} starts, ${starts.cpuSeconds.toFixed(2)} s of a core in ${starts.seconds.toFixed(1)} s)`],
@@ -57,10 +58,6 @@
   return [...[p50, p99, mean, max].map(value => value.toFixed(digits)), String(count)]
 }
 
-function formatCounts (counts: Readonly<Record<string, number>>): string {
-  return Object.entries(counts).map(([name, count]) => `${name} ${count}`).join(', ')
-}
-
 /** Aligns columns two spaces apart. In rows of three or more cells, all cells but the first are right-aligned. */
 function formatRows (rows: ReadonlyArray<readonly string[]>): readonly string[] {
   const widths: number[] = []
--- a/packages/bench/src/scenario-measures.ts
+++ b/packages/bench/src/scenario-measures.ts
@@ -1,10 +1,18 @@
+import { countBy } from './counts.js'
 import { type History, type StartRecord } from './history-records.js'
 import { type HttpCallResult } from './http-call.js'
 
-/** Shorter faults say nothing about the part of the load that is served meanwhile. */
+/** Faults shorter than this are too short to measure the served fraction of the load. */
 const minFaultMs = 3_000
 
-/** Reads the code of the failure with which a job ended, or of the error with which a call did. */
+/** Work submitted in this last part of a fault may still be running when the fault ends. */
+const faultTailMs = 1_000
+
+/**
+ * Reads what a call ended with, for counting.
+ *
+ * @returns `failed-CODE` for a failed job, the name of an error, the HTTP status, or the kind of a failed call
+ */
 export function readCode (reply: HttpCallResult): string {
   if (reply.kind !== 'answered') return reply.kind
   const { name, state, failure } = (reply.body ?? {}) as { name?: unknown, state?: unknown, failure?: { code?: unknown, message?: unknown } }
@@ -13,8 +21,10 @@
 }
 
 /**
- * Computes which part of the work that was submitted while faults lasted also ended while they
- * lasted. Leaves out the last second of each fault, in which work may still be under way.
+ * Computes the percentage of tasks submitted during lasting faults that also succeeded before the
+ * end of their fault. Tasks submitted in the last second of a fault are not counted.
+ *
+ * @returns figures for the report; none when no such task was submitted
  */
 export function computeServed (history: History): Readonly<Record<string, number>> {
   const lasting = history.faults.filter(({ from, to }) => to !== Infinity && to - from >= minFaultMs)
@@ -27,7 +37,7 @@
   let served = 0
   for (const { job, tags } of history.jobs) {
     const sentAt = firstSent.get(job) ?? 0
-    const fault = lasting.find(({ from, to }) => sentAt >= from && sentAt <= to - 1_000)
+    const fault = lasting.find(({ from, to }) => sentAt >= from && sentAt <= to - faultTailMs)
     if (fault === undefined) continue
     offered += tags.length
     served += tags.filter(tag => (ends.get(tag) ?? Infinity) <= fault.to).length
@@ -35,9 +45,7 @@
   return offered === 0 ? {} : { tasksOfferedInFaults: offered, servedPercent: Math.round(served / offered * 1_000) / 10 }
 }
 
-/** Counts the starts of the tag that started most often. */
+/** Counts the starts of the task that was started most often. */
 export function countMost (starts: readonly StartRecord[]): number {
-  const counts = new Map<string, number>()
-  for (const { tag } of starts) counts.set(tag, (counts.get(tag) ?? 0) + 1)
-  return Math.max(0, ...counts.values())
+  return Math.max(0, ...countBy(starts.map(({ tag }) => tag)).values())
 }
--- a/packages/bench/src/scenario-schema.ts
+++ b/packages/bench/src/scenario-schema.ts
@@ -7,6 +7,7 @@
   atMost: z.number()
 }).partial()
 
+/** Bounds of a figure; all that are given must hold. */
 export type Bounds = z.output<typeof boundsSchema>
 
 /** A seat, or `owner:GROUP` for the seat that issued the keys of a group. */
@@ -14,7 +15,7 @@
 
 const directionSchema = z.enum(['both', 'forward', 'backward']).default('both')
 
-/** A group of jobs that are submitted one after the other at a rate. */
+/** Jobs to submit as a group, all at once or at a rate. */
 const submitSchema = z.strictObject({
   group: z.string(),
   jobs: z.int().min(1).default(1),
@@ -26,20 +27,21 @@
   repeatable: z.boolean().optional(),
   timeoutMs: z.int().optional(),
   demand: z.strictObject({ processors: z.int(), memoryMb: z.int(), accelerators: z.int() }).optional(),
-  /** Seats that take the jobs in turn. */
+  /** Seats that the jobs are submitted through in turn; all seats when absent. */
   via: z.array(seatSchema).min(1).optional(),
-  /** Jobs in a second; all at once when absent. */
+  /** Jobs per second; all at once when absent. */
   perSecond: z.number().positive().optional(),
   /** Whether the next steps begin before all jobs are submitted. */
   background: z.boolean().default(false)
 })
 
+/** Value of a `submit` step. */
 export type SubmitStep = z.output<typeof submitSchema>
 
 const expectSchema = z.strictObject({
-  /** Group that the numbers are about; all jobs when absent. */
+  /** Group whose jobs are counted; all jobs when absent. */
   group: z.string().optional(),
-  /** How many jobs stand like this for their callers, as of the last settle step. */
+  /** Number of jobs by what their callers know of them, as of the last reply or `settle` step. */
   complete: boundsSchema.optional(),
   failed: boundsSchema.optional(),
   gone: boundsSchema.optional(),
@@ -51,20 +53,21 @@
   starts: boundsSchema.optional(),
   /** Starts of the task that was started most often. */
   startsPerTask: boundsSchema.optional(),
-  /** Starts at one target, as a share of all starts since a mark. */
+  /** Fraction of all starts since a mark that were at one target. */
   shareAt: z.strictObject({ target: z.string(), since: z.string(), atMost: z.number() }).optional(),
   /** Starts at one target since a mark. */
   startsAt: z.strictObject({ target: z.string(), since: z.string() }).extend(boundsSchema.shape).optional(),
-  /** Most parallel tasks of a customer at one moment since a mark, by the records of the targets. */
+  /** Largest number of parallel tasks of a customer since a mark, from the records of the targets. */
   parallel: z.strictObject({ customer: z.string(), since: z.string().optional() }).extend(boundsSchema.shape).optional(),
-  /** Time from the first submission of each job of the group to its answer: largest, in milliseconds. */
+  /** Longest time in milliseconds from the first submission of a job to its final answer. */
   answeredWithinMs: z.number().optional(),
-  /** Edits that were accepted. */
+  /** Number of accepted edits. */
   edits: boundsSchema.optional(),
   /** Exit code of the last planned stop. */
   exitCode: z.int().optional()
 })
 
+/** Expectations of an `expect` step; each is optional. */
 export type Expectations = z.output<typeof expectSchema>
 
 const platformFaultsSchema = z.strictObject({
@@ -76,7 +79,7 @@
   staleReadMs: z.number()
 }).partial()
 
-/** One step; exactly one of the fields is given. */
+/** One step: an object with exactly one field, which names the kind of step. */
 const stepSchema = z.union([
   z.strictObject({ submit: submitSchema }),
   /** Submits each job of a group again with the same key. */
@@ -88,19 +91,19 @@
   z.strictObject({ settle: z.strictObject({ groups: z.array(z.string()).optional(), via: z.array(seatSchema).min(1), timeoutMs: z.int().default(30_000) }) }),
   /** Edits the limits: changes the named plans, keeps the others. */
   z.strictObject({ edit: z.strictObject({ via: seatSchema, limits: z.record(z.string(), resourceVectorSchema), tries: z.int().min(1).default(1) }) }),
-  /** Operators that make conflicting edits of one list at the same time. */
+  /** Makes conflicting edits of one list at the same time. */
   z.strictObject({ race: z.strictObject({ via: z.array(seatSchema).min(2), plan: z.string(), rounds: z.int().min(1) }) }),
   /** Reads the lists at each of the seats. */
   z.strictObject({ readLists: z.strictObject({ via: z.array(seatSchema).min(1) }) }),
   z.strictObject({ wait: z.number().min(0) }),
-  /** Names the present moment. */
+  /** Records the current time under a name. */
   z.strictObject({ mark: z.string() }),
   z.strictObject({ kill: z.string() }),
   z.strictObject({ pause: z.string() }),
   z.strictObject({ resume: z.string() }),
   /** Starts a new process in a seat. */
   z.strictObject({ replace: z.union([seatSchema, z.strictObject({ seat: seatSchema, background: z.literal(true) })]) }),
-  /** Stops an entry instance as planned. */
+  /** Stops an entry instance gracefully. */
   z.strictObject({ stop: z.strictObject({ seat: seatSchema, background: z.boolean().default(false) }) }),
   /** Waits for the stops, replacements and fetches that run in the background. */
   z.strictObject({ join: z.literal('all') }),
@@ -110,19 +113,32 @@
   z.strictObject({ target: z.strictObject({ id: z.string(), failAll: z.boolean().optional(), speed: z.number().optional(), leaving: z.boolean().optional(), lingering: z.boolean().optional() }) }),
   /** Marks a target as leaving in the instance list. */
   z.strictObject({ leave: z.string() }),
-  /** Takes a process off the instance list. */
+  /** Removes a process from the instance list. */
   z.strictObject({ unlist: z.string() }),
-  /** Ends all faults that last. */
+  /** Ends all platform faults, partitions and pauses. */
   z.strictObject({ heal: z.literal('all') }),
   z.strictObject({ expect: expectSchema })
 ])
 
+/** A step of a scenario. */
 export type ScenarioStep = z.output<typeof stepSchema>
 
+type KeyOfEach<T> = T extends unknown ? keyof T : never
+
+/** Name of a kind of step. */
+export type StepName = KeyOfEach<ScenarioStep>
+
+/** Value of the steps of one kind. */
+export type StepValue<N extends StepName> = ScenarioStep extends infer S ? S extends Record<N, infer V> ? V : never : never
+
+/** A function for each kind of step that runs a step with the given value. */
+export type StepHandlers = { readonly [N in StepName]: (value: StepValue<N>) => Promise<void> | void }
+
+/** Schema of a scenario file. */
 export const scenarioSchema = z.strictObject({
   name: z.string().regex(/^[a-z0-9-]+$/),
   invariants: z.array(z.enum(['I1', 'I2', 'I3', 'I4', 'I5', 'I6', 'I7', 'I8', 'I9'])).min(1),
-  /** What goes wrong, in words. */
+  /** Descriptions of the faults, for the report. */
   faults: z.array(z.string()).min(1),
   cluster: z.strictObject({
     /** Seats and speeds of the targets of each domain. */
@@ -138,4 +154,5 @@
   steps: z.array(stepSchema).min(1)
 })
 
+/** A scenario file with its defaults filled in. */
 export type Scenario = z.output<typeof scenarioSchema>
--- a/packages/bench/src/scenarios.ts
+++ b/packages/bench/src/scenarios.ts
@@ -4,6 +4,9 @@
 import { cac } from 'cac'
 import { parse } from 'yaml'
 import { z } from 'zod'
+import { runCommandLine } from './command-line.js'
+import { formatCounts } from './counts.js'
+import { describeError } from './errors.js'
 import { type Scenario, scenarioSchema } from './scenario-schema.js'
 import { type ScenarioResult, ScenarioRunner } from './scenario-runner.js'
 
@@ -41,9 +44,9 @@
     process.stdout.write(`${scenario.name} (${scenario.invariants.join(', ')}): ${scenario.faults.join('; ')}\n`)
     if (list === true) continue
     const startedAt = performance.now()
-    const { problems, figures, folder } = await new ScenarioRunner(scenario, Number(seed)).run(keep).catch((error: unknown): ScenarioResult => ({ problems: [error instanceof Error ? error.message : String(error)], figures: {} }))
+    const { problems, figures, folder } = await new ScenarioRunner(scenario, Number(seed)).run(keep).catch((error: unknown): ScenarioResult => ({ problems: [describeError(error)], figures: {} }))
     const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1)
-    const text = Object.entries(figures).map(([name, value]) => `${name}=${value}`).join(' ')
+    const text = formatCounts(Object.entries(figures))
     process.stdout.write(`  ${problems.length === 0 ? 'pass' : 'FAIL'} in ${seconds} s ${text}\n`)
     for (const problem of problems.slice(0, 12)) process.stdout.write(`    ${problem}\n`)
     if (problems.length > 12) process.stdout.write(`    and ${problems.length - 12} more\n`)
@@ -63,10 +66,4 @@
   .option('--keep', 'Keep logs, records and the history of scenarios that fail')
   .action(async (options: Options) => await runScenarios(options))
 cli.help()
-try {
-  cli.parse(process.argv, { run: false })
-  process.exitCode = await (cli.runMatchedCommand() as Promise<number> | undefined) ?? 0
-} catch (error) {
-  process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`)
-  process.exitCode = 2
-}
+await runCommandLine(cli, describeError)
