Bench: split cluster and launcher by job

Types and tokens are in cluster-model.ts, so that callers need not import the cluster. publishList and askPlatform had no outside caller and are private now; leavingTargets also holds entry instances and is named leavingProcesses.

--- a/packages/bench/src/caller-session.ts
+++ b/packages/bench/src/caller-session.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { type Demand } from '@sesamereel/state'
-import { tokens } from './cluster.js'
+import { tokens } from './cluster-model.js'
 import { callHttp, type HttpCallResult } from './http-call.js'
 import { type CallRecord, type JobRecord } from './history-records.js'
 
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -2,10 +2,12 @@
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { type JobAnswer } from '@sesamereel/state'
-import { Cluster, type EntryProcess, tokens } from './cluster.js'
+import { Cluster } from './cluster.js'
+import { type EntryProcess, tokens } from './cluster-model.js'
+import { describeError } from './errors.js'
 import { collectStarts } from './history-builder.js'
 import { callHttpOrThrow } from './http-call.js'
-import { programs } from './launcher.js'
+import { programs } from './programs.js'
 
 const taskCount = 120
 
@@ -138,7 +140,7 @@
   print(`done in ${((performance.now() - startedAt) / 1_000).toFixed(1)} s`)
 } catch (error) {
   process.exitCode = 1
-  process.stderr.write(`demo failed: ${error instanceof Error ? error.message : String(error)}\n`)
+  process.stderr.write(`demo failed: ${describeError(error)}\n`)
 } finally {
   await cluster.close()
 }
--- a/packages/bench/src/history-builder.ts
+++ b/packages/bench/src/history-builder.ts
@@ -1,8 +1,7 @@
 import { configurationRow, configurationSchema, demandSchema } from '@sesamereel/protocol'
-import { type ProcessRecord } from './cluster.js'
 import { type CallRecord, type ConfigurationRecord, type FaultRecord, type History, type JobRecord, type LeavingRecord, type StartRecord, type StopRecord } from './history-records.js'
-
-type RawRecord = Readonly<Record<string, unknown>>
+import { type ProcessRecord } from './process-log.js'
+import { type RawRecord } from './record-files.js'
 
 export interface HistorySources {
   readonly jobs: readonly JobRecord[]
--- a/packages/bench/src/launcher.ts
+++ b/packages/bench/src/launcher.ts
@@ -1,24 +1,16 @@
 import { type ChildProcess, spawn } from 'node:child_process'
-import { randomInt } from 'node:crypto'
 import { once } from 'node:events'
 import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
-import { fileURLToPath } from 'node:url'
 import { setTimeout as delay } from 'node:timers/promises'
+import { programs } from './programs.js'
 
-/** Compiled programs of this workspace. */
-export const programs = {
-  standIn: fileURLToPath(new URL('../../../stand-ins/dist/src/main.js', import.meta.url)),
-  entry: fileURLToPath(new URL('../../../entry/dist/src/main.js', import.meta.url)),
-  commandLine: fileURLToPath(new URL('../../../cli/dist/src/main.js', import.meta.url))
-} as const
-
-/** Time in milliseconds within which a process must be ready, generous for a busy machine. */
+/** Time in milliseconds within which a stand-in must be ready; allows for a busy machine. */
 const readyTimeoutMs = 20_000
 
+/** How a process ended: by its exit code or by a signal. */
 export interface ProcessEnd {
   readonly code: number | null
   readonly signal: NodeJS.Signals | null
@@ -28,49 +20,29 @@
 export interface LaunchedProcess {
   readonly name: string
   readonly child: ChildProcess
-  /** Addresses that a stand-in printed; empty for other programs. */
+  /** Addresses that a stand-in printed by their names; empty for other programs. */
   readonly addresses: Readonly<Record<string, string>>
   /** Resolves when the process has ended. */
   readonly ended: Promise<ProcessEnd>
 }
 
-/**
- * Loopback address for reserved ports. Outgoing connections come from 127.0.0.1, so none of them
- * can take a port between its reservation and its use.
- */
-const reservedHost = `127.${randomInt(1, 255)}.${randomInt(0, 256)}.${randomInt(1, 255)}`
-
-const reserved = new Set<string>()
-
-/**
- * Asks the system for free ports on a loopback address of this process. None is given out twice.
- *
- * @param count - number of ports
- * @returns addresses as `IP:PORT`
- */
-export async function reserveAddresses (count: number): Promise<readonly string[]> {
-  const addresses: string[] = []
-  while (addresses.length < count) {
-    const server = createServer()
-    server.listen(0, reservedHost)
-    await once(server, 'listening')
-    const info = server.address()
-    const closed = once(server, 'close')
-    server.close()
-    await closed
-    const address = info !== null && typeof info === 'object' ? `${reservedHost}:${info.port}` : undefined
-    if (address === undefined || reserved.has(address)) continue
-    reserved.add(address)
-    addresses.push(address)
-  }
-  return addresses
+/** Exit code and output of a program that ran to its end. */
+export interface ProgramOutput {
+  /** Null when the program was killed. */
+  readonly code: number | null
+  readonly stdout: string
+  readonly stderr: string
 }
 
+/** Exit code after SIGINT or SIGTERM. */
+const interruptedExitCode = 130
+
 /**
  * Starts processes and ends all of them when it is closed, or when this process ends for any
- * reason but SIGKILL. Settings, logs and records go to a temporary folder that is removed.
+ * reason but SIGKILL. Settings, logs and records go to a temporary folder that is removed then.
  */
 export class ProcessLauncher {
+  /** Temporary folder for settings, logs and records. */
   readonly folder = mkdtempSync(join(tmpdir(), 'sesamereel-'))
   readonly #processes = new Map<string, LaunchedProcess>()
   readonly #endAtExit = (): void => {
@@ -78,7 +50,7 @@
     rmSync(this.folder, { recursive: true, force: true })
   }
 
-  readonly #endAtSignal = (): void => { process.exit(130) }
+  readonly #endAtSignal = (): void => { process.exit(interruptedExitCode) }
 
   constructor () {
     process.on('exit', this.#endAtExit)
@@ -91,6 +63,8 @@
    *
    * @param name - unique name of the process
    * @param kind - kind of stand-in
+   * @param settings - settings of the stand-in
+   * @throws Error with the log of the stand-in when it is not ready in time
    */
   async startStandIn (name: string, kind: string, settings: object): Promise<LaunchedProcess> {
     const child = this.#spawn(name, [programs.standIn, kind, this.writeSettings(name, settings)], ['pipe', 'pipe'])
@@ -103,7 +77,7 @@
   }
 
   /**
-   * Starts any program of Node.js without waiting for it.
+   * Starts a Node.js program and does not wait until it is ready.
    *
    * @param name - unique name of the process
    * @param args - script and its arguments
@@ -113,14 +87,14 @@
   }
 
   /**
-   * Runs a program to its end and collects its output.
+   * Runs a Node.js program to its end and collects its output.
    *
    * @param args - script and its arguments
    * @param environment - variables added to those of this process
    * @param timeoutMs - the program is killed after this time
-   * @returns exit code and both outputs
+   * @returns the exit code and both outputs
    */
-  async runProgram (args: readonly string[], environment: Readonly<Record<string, string>> = {}, timeoutMs = 30_000): Promise<{ code: number | null, stdout: string, stderr: string }> {
+  async runProgram (args: readonly string[], environment: Readonly<Record<string, string>> = {}, timeoutMs = 30_000): Promise<ProgramOutput> {
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'], timeout: timeoutMs, killSignal: 'SIGKILL', env: { ...process.env, ...environment } })
     let stdout = ''
     let stderr = ''
@@ -133,6 +107,8 @@
   /**
    * Writes a settings file for a process.
    *
+   * @param name - name of the process
+   * @param settings - content of the file
    * @returns the path of the file
    */
   writeSettings (name: string, settings: object): string {
@@ -142,9 +118,9 @@
   }
 
   /**
-   * Finds the process id of a program.
+   * Returns the process id of a process.
    *
-   * @throws an error when no such process was started
+   * @throws Error when no such process was started
    */
   getPid (name: string): number {
     const pid = this.#processes.get(name)?.child.pid
@@ -152,21 +128,18 @@
     return pid
   }
 
-  /**
-   * Reads what a process wrote to its log.
-   */
+  /** Reads the log of a process: its standard error and, except for a stand-in, its standard output. */
   readLog (name: string): string {
     return readFileSync(join(this.folder, `${name}.log`), 'utf8')
   }
 
+  /** Tells whether a process was started and has not ended. */
   has (name: string): boolean {
     const child = this.#processes.get(name)?.child
     return child !== undefined && child.exitCode === null && child.signalCode === null
   }
 
-  /**
-   * Sends a signal to a process that is still alive.
-   */
+  /** Sends a signal to a process; does nothing when it has ended. */
   sendSignal (name: string, signal: NodeJS.Signals): void {
     if (this.has(name)) this.#processes.get(name)!.child.kill(signal)
   }
@@ -174,8 +147,9 @@
   /**
    * Waits until a process has ended.
    *
-   * @param timeoutMs - after this time the process is killed
+   * @param timeoutMs - time after which the process is killed
    * @returns how it ended; signal SIGKILL when it did not end in time
+   * @throws Error when no such process was started
    */
   async waitForEnd (name: string, timeoutMs: number): Promise<ProcessEnd> {
     const launched = this.#processes.get(name)
@@ -189,7 +163,7 @@
   /**
    * Ends all processes and removes the temporary folder.
    *
-   * @param keepFolder - keeps settings, logs and records, to look into a failure
+   * @param keepFolder - keeps the folder, to investigate a failure
    */
   async close (keepFolder = false): Promise<void> {
     this.#endAll()
--- a/packages/bench/src/load-idle-latency.ts
+++ b/packages/bench/src/load-idle-latency.ts
@@ -1,7 +1,8 @@
 import { Agent, request } from 'undici'
 import { type StartTask, type TargetReply } from '@sesamereel/protocol'
 import { type InstanceList, parseKey } from '@sesamereel/state'
-import { type Cluster, tokens } from './cluster.js'
+import { type Cluster } from './cluster.js'
+import { tokens } from './cluster-model.js'
 import { callHttpOrThrow } from './http-call.js'
 import { computeSummary, type Summary } from './load-samples.js'
 
--- a/packages/bench/src/load-snapshots.ts
+++ b/packages/bench/src/load-snapshots.ts
@@ -1,4 +1,5 @@
-import { type Cluster, type EntryProcess } from './cluster.js'
+import { type Cluster } from './cluster.js'
+import { type EntryProcess } from './cluster-model.js'
 import { callHttpOrThrow } from './http-call.js'
 import { countMessages, subtractCounts } from './load-messages.js'
 import { type MetricSample, parseMetrics, sumMetric } from './load-metrics.js'
--- a/packages/bench/src/load-start-rate.ts
+++ b/packages/bench/src/load-start-rate.ts
@@ -1,6 +1,7 @@
 import { JobClient } from '@sesamereel/cli'
 import { parseKey } from '@sesamereel/state'
-import { type Cluster, type EntryProcess, tokens } from './cluster.js'
+import { type Cluster } from './cluster.js'
+import { type EntryProcess, tokens } from './cluster-model.js'
 import { readMetrics } from './load-snapshots.js'
 import { sumMetric } from './load-metrics.js'
 
--- a/packages/bench/src/random-faults.ts
+++ b/packages/bench/src/random-faults.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { type CallerSession } from './caller-session.js'
-import { type Cluster, type EntryProcess, type TargetProcess } from './cluster.js'
+import { type Cluster } from './cluster.js'
+import { type EntryProcess, type TargetProcess } from './cluster-model.js'
 import { type ActiveFault, type CutDirection, type FaultInjector } from './fault-injector.js'
 import { type RandomSource } from '@sesamereel/emulator'
 import { runWithConcurrencyLimit } from './concurrency-limit.js'
@@ -141,7 +142,7 @@
 
   async #disturbTarget (kind: FaultKind): Promise<void> {
     const { cluster, injector } = this.#environment
-    const target = this.#takeFree(cluster.targets.filter(({ id }) => !cluster.leavingTargets.has(id)), ({ id }) => id)
+    const target = this.#takeFree(cluster.targets.filter(({ id }) => !cluster.leavingProcesses.has(id)), ({ id }) => id)
     if (target === undefined) return
     try {
       if (kind === 'kill-target') {
--- a/packages/bench/src/scenario-processes.ts
+++ b/packages/bench/src/scenario-processes.ts
@@ -1,5 +1,6 @@
 import { type Destination } from './caller-session.js'
-import { type Cluster, type EntryProcess } from './cluster.js'
+import { type Cluster } from './cluster.js'
+import { type EntryProcess } from './cluster-model.js'
 
 const ownerPrefix = 'owner:'
 
