--- a/packages/bench/src/history-builder.ts
+++ b/packages/bench/src/history-builder.ts
@@ -3,6 +3,7 @@
 import { type ProcessRecord } from './process-log.js'
 import { type RawRecord } from './record-files.js'
 
+/** Raw records that a history is built from. */
 export interface HistorySources {
   readonly jobs: readonly JobRecord[]
   readonly calls: readonly CallRecord[]
@@ -14,6 +15,8 @@
 
 /**
  * Builds a history from the raw records of all sources.
+ *
+ * @param sources - what callers, targets, the platform and the driver recorded
  */
 export function buildHistory (sources: HistorySources): History {
   return {
@@ -28,11 +31,15 @@
 }
 
 /**
- * Joins starts with their ends. A task without an end ended when its target was killed, if it was.
+ * Matches the starts of tasks with their ends. A task without a recorded end ended when its target
+ * was killed; when the target was not killed, its end is Infinity.
+ *
+ * @param records - records of the targets, in the order of each target
+ * @param processes - what the driver did to processes
  */
 export function collectStarts (records: readonly RawRecord[], processes: readonly ProcessRecord[]): readonly StartRecord[] {
-  const kills = new Map(processes.filter(({ event }) => event === 'killed').map(({ process, at }) => [process, at]))
-  // An id may be started more than once; ends are matched to starts in their order.
+  const killTimes = new Map(processes.filter(({ event }) => event === 'killed').map(({ process, at }) => [process, at]))
+  // An attempt may wrongly start more than once, so its ends are matched to its starts in order.
   const ends = new Map<string, Array<{ at: number, outcome: string }>>()
   for (const record of records) {
     if (record['kind'] !== 'end') continue
@@ -44,7 +51,7 @@
   return records.filter(({ kind }) => kind === 'start').map(record => {
     const target = String(record['target'])
     const at = Number(record['at'])
-    const killedAt = kills.get(target)
+    const killedAt = killTimes.get(target)
     const end = ends.get(describeAttempt(record))?.shift()
     return {
       at,
@@ -53,7 +60,7 @@
       tag: String(record['tag']),
       customer: String(record['customer']),
       demand: demandSchema.parse(record['demand']),
-      // A task may start between the record of the kill and the kill itself.
+      // The kill is recorded before the signal is sent, so a task may start in between.
       endedAt: end?.at ?? (killedAt === undefined ? Infinity : Math.max(at, killedAt)),
       outcome: end?.outcome ?? 'none'
     }
@@ -86,6 +93,7 @@
   })
 }
 
+/** Describes an attempt uniquely by target, boot id and attempt id. */
 function describeAttempt (record: RawRecord): string {
   return `${String(record['target'])} ${String(record['boot'])} ${String(record['id'])}`
 }
--- a/packages/bench/src/history-records.ts
+++ b/packages/bench/src/history-records.ts
@@ -4,15 +4,15 @@
 /** Name of an invariant of docs/design.md, section 1.2. */
 export type Invariant = 'I1' | 'I2' | 'I3' | 'I4' | 'I5' | 'I6' | 'I7' | 'I8' | 'I9'
 
-/** A job as a caller meant it; its tasks are known by tags that the targets return as results. */
+/** A job as its caller submitted it. Its tasks have tags, which the targets record and return as results. */
 export interface JobRecord {
   readonly job: string
   readonly key: string
   readonly customer: string
   readonly repeatable: boolean
-  /** Whether the caller marked the job as non-idempotent explicitly. */
+  /** Whether the caller explicitly set `repeatable` to false. */
   readonly marked: boolean
-  /** One for each task, unique over all jobs. */
+  /** One tag for each task; unique across all jobs. */
   readonly tags: readonly string[]
 }
 
@@ -28,22 +28,22 @@
   readonly reply: HttpCallResult
 }
 
-/** One start of a task, as its target recorded it. */
+/** One start of a task, as recorded by its target. */
 export interface StartRecord {
   readonly at: number
   readonly target: string
-  /** Id that the dispatcher gave the attempt. */
+  /** Attempt id that the dispatcher assigned. */
   readonly id: string
-  /** Tag that the caller gave the task. */
+  /** Tag that the caller assigned to the task. */
   readonly tag: string
   readonly customer: string
   readonly demand: Demand
-  /** Infinity when it was still running at the end of the history. */
+  /** Infinity when the task was still running at the end of the history. */
   readonly endedAt: number
   readonly outcome: string
 }
 
-/** The moment at which the platform's list first showed a target as leaving. */
+/** Time at which the platform's instance list first showed a target as leaving. */
 export interface LeavingRecord {
   readonly target: string
   readonly visibleAt: number
@@ -71,13 +71,13 @@
   readonly kind: string
   readonly from: number
   readonly to: number
-  /** Whether the instance list could not be read everywhere; delays the bound of I6. */
+  /** Whether some instance could not read the instance list; extends the bound of I6. */
   readonly hidesList: boolean
-  /** Whether an instance could not be reached by the store or its peers; delays the bound of I8. */
+  /** Whether some instance could not reach the store or its peers; extends the bound of I8. */
   readonly hidesConfiguration: boolean
 }
 
-/** Everything that callers, targets, the platform and the driver saw. Times are of one machine's clock. */
+/** All records of callers, targets, the platform and the driver. Times are in milliseconds of one machine's clock. */
 export interface History {
   readonly jobs: readonly JobRecord[]
   readonly calls: readonly CallRecord[]
@@ -88,6 +88,7 @@
   readonly faults: readonly FaultRecord[]
 }
 
+/** A violation of an invariant that a history shows. */
 export interface Violation {
   readonly invariant: Invariant
   readonly message: string
--- a/packages/bench/src/history.ts
+++ b/packages/bench/src/history.ts
@@ -21,6 +21,7 @@
   process.stdout.write(line + '\n')
 }
 
+/** Runs the history check and prints a summary; returns the exit code. */
 async function run (options: Options): Promise<number> {
   const { seed, seconds } = options
   const { history, operations, violations, problems, folder } = await runHistory({ seed, seconds, callers: options.callers, operators: options.operators, faultLoops: options.faults, keepFolder: options.keep === true })
--- a/packages/bench/src/random-clients.ts
+++ b/packages/bench/src/random-clients.ts
@@ -10,9 +10,10 @@
 /** Jobs that a client remembers for later fetches, cancellations and resubmissions. */
 const rememberedJobs = 200
 
-/** Longest time in milliseconds for which a client follows a job at once. */
+/** Time in milliseconds after which a client stops following a job. */
 const followMs = 8_000
 
+/** What all clients of a run share. */
 export interface ClientEnvironment {
   readonly session: CallerSession
   readonly customers: readonly string[]
@@ -21,16 +22,16 @@
   readonly isOver: () => boolean
   /** Operations so far, by kind. */
   readonly operations: Map<string, number>
-  /** Jobs without a final answer, to be settled at the end. */
-  readonly open: Set<CallerJob>
+  /** Jobs without a final answer, which are followed to their end after the faults. */
+  readonly unsettled: Set<CallerJob>
 }
 
 /**
- * Acts as one caller until the run is over: submits, submits again through any instance, cancels,
- * fetches late, and gives up waiting for some replies, as callers do that believe a job lost.
+ * Acts as one caller until the run is over: submits jobs, resubmits them through any instance, cancels
+ * and fetches them later, and stops waiting for some replies as if the job were lost.
  */
 export async function runCaller (environment: ClientEnvironment, random: RandomSource): Promise<void> {
-  const { session, operations, open } = environment
+  const { session, operations, unsettled } = environment
   const jobs: CallerJob[] = []
   while (!environment.isOver()) {
     const kind = random.pickWeighted(callerWeights)
@@ -46,7 +47,7 @@
       if (job !== undefined) {
         jobs.push(job)
         if (jobs.length > rememberedJobs) jobs.shift()
-        open.add(job)
+        unsettled.add(job)
         await submitAndFollow(environment, random, to, job, kind === 'lost')
       }
     } else if (kind === 'read-lists') await session.readLists(to)
@@ -60,7 +61,8 @@
 }
 
 /**
- * Acts as one operator: edits both lists on the version that it has read, sometimes on an old one.
+ * Acts as one operator until the run is over: edits both lists, based on the version that it has read
+ * or sometimes on an outdated one.
  */
 export async function runOperator (environment: ClientEnvironment, random: RandomSource, plans: readonly string[], limits: LimitList): Promise<void> {
   const { session, operations } = environment
@@ -93,7 +95,7 @@
   const first = isLost ? await session.submit(to, job, 2_000, random.pickInteger(1, 150)) : await session.submit(to, job, random.pickInteger(0, 1_500))
   const standing = judgeReply(first)
   if (standing === 'complete' || standing === 'failed' || standing === 'gone') {
-    environment.open.delete(job)
+    environment.unsettled.delete(job)
     return
   }
   if (random.drawBoolean(0.3)) return
@@ -102,7 +104,7 @@
     if (again !== undefined) await session.submit(again, job, 500)
   }
   const end = await session.waitForEnd(() => environment.pickDestination(random), job, Date.now() + followMs)
-  if (end === 'complete' || end === 'failed' || end === 'gone') environment.open.delete(job)
+  if (end === 'complete' || end === 'failed' || end === 'gone') environment.unsettled.delete(job)
 }
 
 function createPlan (random: RandomSource, customers: readonly string[]): JobPlan {
--- a/packages/bench/src/scenarios.ts
+++ b/packages/bench/src/scenarios.ts
@@ -12,6 +12,9 @@
 
 const scenarioFolder = fileURLToPath(new URL('../../../../scenarios', import.meta.url))
 
+/** Problems of one scenario that are printed. */
+const maxPrintedProblems = 12
+
 interface Options {
   readonly only?: string | readonly string[]
   readonly list?: boolean
@@ -22,7 +25,8 @@
 /**
  * Loads all scenarios and validates them.
  *
- * @throws an error that names every problem of a file
+ * @returns the scenarios in the order of their file names
+ * @throws Error that names every problem of the first invalid file
  */
 function loadScenarios (): readonly Scenario[] {
   return readdirSync(scenarioFolder).filter(file => file.endsWith('.yaml')).sort().map(file => {
@@ -33,6 +37,7 @@
   })
 }
 
+/** Runs or lists the selected scenarios and prints their results; returns the exit code. */
 async function runScenarios ({ only, list, seed, keep }: Options): Promise<number> {
   const names = only === undefined ? undefined : typeof only === 'string' ? only.split(',') : only
   const all = loadScenarios()
@@ -48,8 +53,8 @@
     const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1)
     const text = formatCounts(Object.entries(figures))
     process.stdout.write(`  ${problems.length === 0 ? 'pass' : 'FAIL'} in ${seconds} s ${text}\n`)
-    for (const problem of problems.slice(0, 12)) process.stdout.write(`    ${problem}\n`)
-    if (problems.length > 12) process.stdout.write(`    and ${problems.length - 12} more\n`)
+    for (const problem of problems.slice(0, maxPrintedProblems)) process.stdout.write(`    ${problem}\n`)
+    if (problems.length > maxPrintedProblems) process.stdout.write(`    and ${problems.length - maxPrintedProblems} more\n`)
     if (folder !== undefined) process.stdout.write(`    logs, records and history are in ${folder}\n`)
     if (problems.length > 0) failed++
   }
