--- a/packages/bench/src/cluster-network.ts
+++ b/packages/bench/src/cluster-network.ts
@@ -59,7 +59,7 @@
   }
 
   /** Links each domain to an entry instance. */
-  async linkEntry (name: string, domain: string, peerAddress: string): Promise<void> {
+  async connectEntry (name: string, domain: string, peerAddress: string): Promise<void> {
     await this.#addLinks(this.#domains.map(from => ({
       name: `peer:${name}@${from}`, connect: peerAddress, delayMs: from === domain ? 0 : this.#delayMs
     })))
@@ -67,7 +67,7 @@
   }
 
   /** Links all domains to a target. */
-  async linkTarget ({ id, apiAddress }: TargetProcess): Promise<void> {
+  async connectTarget ({ id, apiAddress }: TargetProcess): Promise<void> {
     await this.#addLinks([{ name: `target:${id}`, connect: apiAddress, delayMs: 0 }])
     for (const links of this.#linksByDomain.values()) links.set(apiAddress, `target:${id}`)
   }
--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -87,7 +87,7 @@
     const [callerAddress, peerAddress] = await reserveAddresses(2) as [string, string]
     const entry: EntryProcess = { name, domain, seat, callerAddress, peerAddress }
     const settings = createEntrySettings(entry, this.spec.domains, this.#network.getPlatformAddress(domain))
-    await this.#network.linkEntry(name, domain, peerAddress)
+    await this.#network.connectEntry(name, domain, peerAddress)
     this.#members.addEntry(entry)
     this.launcher.startProgram(name, [programs.entry, '--settings', this.launcher.writeSettings(name, settings)])
     this.#log.record(name, 'started')
@@ -108,7 +108,7 @@
       id, ...spec, capacity, recordFile: buildRecordPath(this.launcher.folder, id)
     })
     const target = { id, domain, spec: { ...spec, capacity }, apiAddress: addresses['api']!, adminAddress: addresses['admin']! }
-    await this.#network.linkTarget(target)
+    await this.#network.connectTarget(target)
     this.#members.addTarget(target)
     this.#log.record(id, 'started')
     await this.#publishList()
--- a/packages/bench/src/random-entry-faults.ts
+++ b/packages/bench/src/random-entry-faults.ts
@@ -8,14 +8,14 @@
  * Kills, pauses or stops a random entry instance; one that ends is replaced in its seat.
  */
 export async function disturbEntry (context: FaultContext, kind: EntryFaultKind): Promise<void> {
-  const entry = context.reserveOneOf(context.environment.cluster.entries, buildSeat)
+  const entry = context.reserveOneOf(context.environment.cluster.entries, describeSeat)
   if (entry === undefined) return
   try {
     if (kind === 'planned-stop') await stopAndReplace(context, entry)
     else if (kind === 'kill-entry') await killAndReplace(context, entry)
     else await pauseAndResume(context, entry, kind === 'pause-entry-with-successor')
   } finally {
-    context.release(buildSeat(entry))
+    context.release(describeSeat(entry))
   }
 }
 
@@ -47,6 +47,6 @@
   await pause.end()
 }
 
-function buildSeat ({ domain, seat }: EntryProcess): string {
+function describeSeat ({ domain, seat }: EntryProcess): string {
   return `${domain}.${seat}`
 }
--- a/packages/bench/src/scenario-jobs.ts
+++ b/packages/bench/src/scenario-jobs.ts
@@ -63,7 +63,7 @@
    */
   async resubmit ({ group, via, times }: StepValue<'resubmit'>): Promise<void> {
     for (let i = 0; i < times; i++) {
-      await this.#forEachJob(group, via, async (to, member) => {
+      await this.#processJobs(group, via, async (to, member) => {
         observeReply(member, await this.#session.submit(to, member.job))
       })
     }
@@ -73,14 +73,14 @@
    * Cancels each job of a group.
    */
   async cancel ({ group, via }: StepValue<'cancel'>): Promise<void> {
-    await this.#forEachJob(group, via, async (to, { job }) => { await this.#session.cancel(to, job) })
+    await this.#processJobs(group, via, async (to, { job }) => { await this.#session.cancel(to, job) })
   }
 
   /**
    * Fetches each job of a group once.
    */
   async fetch ({ group, via, waitMs }: StepValue<'fetch'>): Promise<void> {
-    await this.#forEachJob(group, via, async (to, { job }) => { await this.#session.fetch(to, job, waitMs) })
+    await this.#processJobs(group, via, async (to, { job }) => { await this.#session.fetch(to, job, waitMs) })
   }
 
   /**
@@ -121,7 +121,7 @@
     observeReply(member, await this.#session.submit(to, job))
   }
 
-  async #forEachJob (group: string, via: readonly string[], act: (to: Destination, member: TrackedJob) => Promise<void>): Promise<void> {
+  async #processJobs (group: string, via: readonly string[], act: (to: Destination, member: TrackedJob) => Promise<void>): Promise<void> {
     const members = this.#groups.get(group) ?? []
     await runWithConcurrencyLimit(members, maxConcurrentCalls, async member => {
       const to = this.#processes.takeDestination(via)
