--- a/packages/bench/src/scenarios.ts
+++ b/packages/bench/src/scenarios.ts
@@ -4,11 +4,17 @@
 import { cac } from 'cac'
 import { parse } from 'yaml'
 import { z } from 'zod'
+import { runCommandLine } from './command-line.js'
+import { formatCounts } from './counts.js'
+import { describeError } from './errors.js'
 import { type Scenario, scenarioSchema } from './scenario-schema.js'
 import { type ScenarioResult, ScenarioRunner } from './scenario-runner.js'
 
 const scenarioFolder = fileURLToPath(new URL('../../../../scenarios', import.meta.url))
 
+/** Problems of one scenario that are printed. */
+const maxPrintedProblems = 12
+
 interface Options {
   readonly only?: string | readonly string[]
   readonly list?: boolean
@@ -19,7 +25,8 @@
 /**
  * Loads all scenarios and validates them.
  *
- * @throws an error that names every problem of a file
+ * @returns the scenarios in the order of their file names
+ * @throws Error that names every problem of the first invalid file
  */
 function loadScenarios (): readonly Scenario[] {
   return readdirSync(scenarioFolder).filter(file => file.endsWith('.yaml')).sort().map(file => {
@@ -30,6 +37,7 @@
   })
 }
 
+/** Runs or lists the selected scenarios and prints their results; returns the exit code. */
 async function runScenarios ({ only, list, seed, keep }: Options): Promise<number> {
   const names = only === undefined ? undefined : typeof only === 'string' ? only.split(',') : only
   const all = loadScenarios()
@@ -41,12 +49,12 @@
     process.stdout.write(`${scenario.name} (${scenario.invariants.join(', ')}): ${scenario.faults.join('; ')}\n`)
     if (list === true) continue
     const startedAt = performance.now()
-    const { problems, figures, folder } = await new ScenarioRunner(scenario, Number(seed)).run(keep).catch((error: unknown): ScenarioResult => ({ problems: [error instanceof Error ? error.message : String(error)], figures: {} }))
+    const { problems, figures, folder } = await new ScenarioRunner(scenario, Number(seed)).run(keep).catch((error: unknown): ScenarioResult => ({ problems: [describeError(error)], figures: {} }))
     const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1)
-    const text = Object.entries(figures).map(([name, value]) => `${name}=${value}`).join(' ')
+    const text = formatCounts(Object.entries(figures))
     process.stdout.write(`  ${problems.length === 0 ? 'pass' : 'FAIL'} in ${seconds} s ${text}\n`)
-    for (const problem of problems.slice(0, 12)) process.stdout.write(`    ${problem}\n`)
-    if (problems.length > 12) process.stdout.write(`    and ${problems.length - 12} more\n`)
+    for (const problem of problems.slice(0, maxPrintedProblems)) process.stdout.write(`    ${problem}\n`)
+    if (problems.length > maxPrintedProblems) process.stdout.write(`    and ${problems.length - maxPrintedProblems} more\n`)
     if (folder !== undefined) process.stdout.write(`    logs, records and history are in ${folder}\n`)
     if (problems.length > 0) failed++
   }
@@ -63,10 +71,4 @@
   .option('--keep', 'Keep logs, records and the history of scenarios that fail')
   .action(async (options: Options) => await runScenarios(options))
 cli.help()
-try {
-  cli.parse(process.argv, { run: false })
-  process.exitCode = await (cli.runMatchedCommand() as Promise<number> | undefined) ?? 0
-} catch (error) {
-  process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`)
-  process.exitCode = 2
-}
+await runCommandLine(cli, describeError)
