stand-ins: split the target machine by job

target-machine.ts (277 lines) held the guards, the timers of the tasks, the detection of freezes, the reading of payloads and two copies of the map with expiring ids. Each is a module now: TaskRunner, FreezeDetector, TaskWork, RunningTask with the decision on a task's end, and ExpiringMap, of which the ended and the deleted ids are two instances. Behaviour, records and texts are unchanged.

Renames: rememberMs is now taskRetentionMs and no longer exported (it had no user); TargetFaults and TargetMachineOptions moved to target-options.ts.

--- a/packages/stand-ins/src/target-machine.ts
+++ b/packages/stand-ins/src/target-machine.ts
@@ -1,277 +1,201 @@
 import { randomBytes } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
-import { type Demand } from '@sesamereel/state'
 import { type RefusalReason, type StartTask, type TaskEnd, type TaskState } from '@sesamereel/protocol'
+import { ExpiringMap } from './expiring-map.js'
+import { FreezeDetector } from './freeze-detector.js'
 import { type RecordLog } from './record-log.js'
+import { type RunningTask } from './running-task.js'
+import { type TargetFaults, type TargetMachineOptions } from './target-options.js'
+import { parseWork, type TaskWork } from './task-payload.js'
+import { TaskRunner } from './task-runner.js'
 
-/** Time in milliseconds for which ended and deleted ids are remembered. */
-export const rememberMs = 60_000
+/** Time in milliseconds for which a target remembers ended and deleted task ids. */
+const taskRetentionMs = 60_000
 
-/** A gap of this many milliseconds between two readings of the clock counts as a freeze. */
-const freezeGapMs = 300
+/** Interval in milliseconds at which an idle target reads its clock. */
+const clockIntervalMs = 50
 
-/** Interval in milliseconds at which the clock is read while nothing else happens. */
-const tickMs = 50
+/** Interval in milliseconds between two removals of expired task ids. */
+const sweepIntervalMs = 1_000
 
-/** Switches of a target. */
-export interface TargetFaults {
-  /** Every task that starts fails at once. */
-  readonly failAll: boolean
-  /** The target says that it is leaving and refuses new tasks. */
-  readonly leaving: boolean
-  /** The target says that it is leaving but still starts tasks. */
-  readonly lingering: boolean
-  /** Replies are held back for this many milliseconds. */
-  readonly replyDelayMs: number
-  /** Work is done at this multiple of the declared speed. */
-  readonly speed: number
-}
-
-export interface TargetMachineOptions {
-  readonly id: string
-  readonly slots: number
-  readonly capacity: Demand
-  readonly speed: number
-}
-
-/** What the stand-in reads from a payload; anything else runs for 0 ms with a null result. */
-interface Work {
-  readonly workMs: number
-  readonly result: unknown
-  readonly fail: string | undefined
-  readonly memoryMb: number
-  readonly tag: unknown
-}
-
-interface RunningTask {
-  readonly id: string
-  readonly work: Work
-  readonly demand: Demand
-  readonly startedAt: number
-  readonly leaseEndsAt: number
-  /** Moment at which the work is done; moves when the target was frozen. */
-  dueAt: number
-  timer: NodeJS.Timeout | undefined
-  readonly report: (end: TaskEnd) => void
-}
-
-/**
- * Reads the work that a payload describes.
- */
-function parseWork (payload: unknown): Work {
-  const fields = (typeof payload === 'object' && payload !== null ? payload : {}) as Record<string, unknown>
-  return {
-    workMs: typeof fields['workMs'] === 'number' ? fields['workMs'] : 0,
-    result: fields['result'] ?? null,
-    fail: typeof fields['fail'] === 'string' ? fields['fail'] : undefined,
-    memoryMb: typeof fields['memoryMb'] === 'number' ? fields['memoryMb'] : 0,
-    tag: fields['tag']
-  }
-}
-
-/** Runs the simulated tasks of one target under its guards, without any network. */
+/** Runs the simulated tasks of one target and applies its guards, without any network. */
 export class TargetMachine {
+  /** Random identity of this start of the target. */
   readonly boot = randomBytes(8).toString('hex')
   readonly #options: TargetMachineOptions
   readonly #records: RecordLog
-  readonly #running = new Set<RunningTask>()
-  readonly #ended = new Map<string, { readonly end: TaskEnd, readonly forgetAt: number }>()
-  readonly #deleted = new Map<string, number>()
-  readonly #used = { processors: 0, memoryMb: 0, accelerators: 0 }
-  readonly #ticker: NodeJS.Timeout
-  #seenAt = performance.now()
+  readonly #runner: TaskRunner
+  readonly #ended = new ExpiringMap<TaskEnd>(taskRetentionMs)
+  readonly #deleted = new ExpiringMap<true>(taskRetentionMs)
+  readonly #clockTimer: NodeJS.Timeout
+  readonly #freezes = new FreezeDetector()
   #sweptAt = performance.now()
   #faults: TargetFaults
 
+  /**
+   * @param options - identity and size
+   * @param records - receives starts, refusals, ends, faults and freezes
+   */
   constructor (options: TargetMachineOptions, records: RecordLog) {
     this.#options = options
     this.#records = records
     this.#faults = { failAll: false, leaving: false, lingering: false, replyDelayMs: 0, speed: options.speed }
+    this.#runner = new TaskRunner({
+      readClock: () => this.advance(),
+      onEnd: (task, end, at) => { this.#recordEnd(task, end, at) }
+    })
     records.append({ kind: 'boot', target: options.id, boot: this.boot })
-    this.#ticker = setInterval(() => { this.advance() }, tickMs)
+    this.#clockTimer = setInterval(() => { this.advance() }, clockIntervalMs)
   }
 
+  /** Present values of the fault switches. */
   get faults (): TargetFaults { return this.#faults }
 
+  /** Whether the target reports that it is leaving. */
   get leaving (): boolean { return this.#faults.leaving || this.#faults.lingering }
 
-  get freeSlots (): number { return Math.max(0, this.#options.slots - this.#running.size) }
+  /** Number of tasks that can start now. */
+  get freeSlots (): number { return Math.max(0, this.#options.slots - this.#runner.size) }
 
+  /**
+   * Changes fault switches and records the change.
+   *
+   * @param faults - new values; absent switches keep theirs
+   */
   setFaults (faults: Partial<TargetFaults>): void {
     this.#faults = { ...this.#faults, ...faults }
     this.#records.append({ kind: 'faults', target: this.#options.id, faults })
   }
 
   /**
-   * Reads the clock. After a freeze the work of each task is put off by its length, and tasks
-   * whose lease ended meanwhile are stopped before anything else happens. They used nothing
-   * while the target was frozen, so their records end when the freeze began.
+   * Reads the clock. After a freeze, stops the tasks whose lease has ended before anything else
+   * happens, and postpones the work of the others by the length of the freeze.
    *
    * @returns the target's clock in milliseconds
    */
   advance (): number {
     const now = performance.now()
-    const gap = now - this.#seenAt
-    this.#seenAt = now
-    if (gap > freezeGapMs) {
-      const frozeAt = Date.now() - gap
-      this.#records.append({ kind: 'frozen', target: this.#options.id, from: frozeAt })
-      for (const task of [...this.#running]) {
-        if (task.leaseEndsAt <= now) {
-          this.#finish(task, { outcome: 'timed-out', runMs: task.leaseEndsAt - task.startedAt }, frozeAt)
-        } else {
-          task.dueAt += gap
-          this.#schedule(task, now)
-        }
-      }
-    }
-    if (now - this.#sweptAt > 1_000) this.#sweep(now)
+    const freezeMs = this.#freezes.note(now)
+    if (freezeMs > 0) this.#resume(now, freezeMs)
+    if (now - this.#sweptAt > sweepIntervalMs) this.#sweep(now)
     return now
   }
 
   /**
-   * Starts a task, or refuses it when a guard forbids it. An id that was started before is
-   * started again: the stand-in counts on the dispatcher not to ask for that.
+   * Starts a task, or refuses it when a guard forbids it. An id that was started before is started
+   * again, so that the records show duplicate starts of the dispatcher.
    *
+   * @param id - id of the attempt
+   * @param request - the start request
    * @param report - receives the end of the task
    * @returns the reason of the refusal, or undefined when the task was started
    */
   start (id: string, request: StartTask, report: (end: TaskEnd) => void): RefusalReason | undefined {
     const now = this.advance()
-    const refused = this.#judge(id, request, now)
-    const identity = { target: this.#options.id, boot: this.boot, id, customer: request.customer }
+    const refused = this.#checkGuards(id, request, now)
     const work = parseWork(request.payload)
+    const fields = { target: this.#options.id, boot: this.boot, id, customer: request.customer, tag: work.tag }
     if (refused !== undefined) {
-      this.#records.append({ kind: 'refused', ...identity, tag: work.tag, reason: refused })
+      this.#records.append({ kind: 'refused', ...fields, reason: refused })
       return refused
     }
-    this.#records.append({ kind: 'start', ...identity, tag: work.tag, taskKind: request.kind, demand: request.demand })
-    const fails = this.#faults.failAll
-    const task: RunningTask = {
-      id,
-      work: fails ? { ...work, fail: 'the target fails every task' } : work,
-      demand: request.demand,
-      startedAt: now,
-      leaseEndsAt: now + request.leaseMs,
-      dueAt: now + (fails ? 0 : work.workMs / this.#faults.speed),
-      timer: undefined,
-      report
-    }
-    this.#running.add(task)
-    this.#used.processors += task.demand.processors
-    this.#used.memoryMb += task.demand.memoryMb
-    this.#used.accelerators += task.demand.accelerators
-    this.#schedule(task, now)
+    this.#records.append({ kind: 'start', ...fields, taskKind: request.kind, demand: request.demand })
+    this.#runner.run(this.#createTask(id, request, work, report, now), now)
     return undefined
   }
 
   /**
-   * Tells what is known of a task.
+   * Reports what is known of a task.
+   *
+   * @param id - id of the attempt
+   * @returns its state; `not-seen` for an id that was never started or is no longer remembered
    */
   find (id: string): TaskState {
     this.advance()
-    for (const task of this.#running) if (task.id === id) return { state: 'running' }
-    const ended = this.#ended.get(id)
-    return ended === undefined ? { state: 'not-seen' } : { state: 'ended', end: ended.end }
+    if (this.#runner.find(id).length > 0) return { state: 'running' }
+    const end = this.#ended.find(id)
+    return end === undefined ? { state: 'not-seen' } : { state: 'ended', end }
   }
 
   /**
-   * Makes sure that a task that was not seen is never started. A running one goes on.
+   * Blocks a later start of a task that has not been seen. A running task continues.
+   *
+   * @param id - id of the attempt
+   * @returns the state of the task
    */
   remove (id: string): TaskState {
     const state = this.find(id)
-    if (state.state === 'not-seen') this.#deleted.set(id, performance.now() + rememberMs)
+    if (state.state === 'not-seen') this.#deleted.set(id, true, performance.now())
     return state
   }
 
   /**
-   * Stops a running task; one that was not seen is never started.
+   * Stops a running task, or blocks a later start of one that has not been seen.
+   *
+   * @param id - id of the attempt
+   * @returns the state of the task afterwards
    */
   cancel (id: string): TaskState {
     const state = this.remove(id)
     if (state.state !== 'running') return state
     const now = performance.now()
-    for (const task of [...this.#running]) {
-      if (task.id === id) this.#finish(task, { outcome: 'cancelled', runMs: now - task.startedAt })
-    }
+    for (const task of this.#runner.find(id)) this.#runner.finish(task, { outcome: 'cancelled', runMs: now - task.startedAt })
     return this.find(id)
   }
 
+  /**
+   * Lists the running tasks.
+   *
+   * @returns ids of the attempts
+   */
   listRunning (): readonly string[] {
-    return [...this.#running].map(task => task.id)
+    return this.#runner.tasks.map(task => task.id)
   }
 
+  /** Stops the clock and drops the running tasks without a record. */
   close (): void {
-    clearInterval(this.#ticker)
-    for (const task of this.#running) clearTimeout(task.timer)
-    this.#running.clear()
+    clearInterval(this.#clockTimer)
+    this.#runner.close()
   }
 
-  #judge (id: string, request: StartTask, now: number): RefusalReason | undefined {
+  #checkGuards (id: string, request: StartTask, now: number): RefusalReason | undefined {
+    const { slots, capacity } = this.#options
     if (request.boot !== this.boot) return 'boot'
     if (this.#deleted.has(id)) return 'deleted'
     if (this.#faults.leaving) return 'leaving'
     if (now > request.startBy) return 'late'
-    if (this.#running.size >= this.#options.slots) return 'slots'
-    const { capacity } = this.#options
-    const { demand } = request
-    const fits = this.#used.processors + demand.processors <= capacity.processors &&
-      this.#used.memoryMb + demand.memoryMb <= capacity.memoryMb &&
-      this.#used.accelerators + demand.accelerators <= capacity.accelerators
-    return fits ? undefined : 'resources'
-  }
-
-  #schedule (task: RunningTask, now: number): void {
-    clearTimeout(task.timer)
-    // A task that uses too much memory is stopped halfway through its work.
-    const stopAt = this.#isOverMemory(task) ? (task.startedAt + task.dueAt) / 2 : task.dueAt
-    const delay = Math.min(stopAt, task.leaseEndsAt) - now
-    if (delay <= 0) this.#settle(task)
-    else task.timer = setTimeout(() => { this.#wake(task) }, delay)
-  }
-
-  #wake (task: RunningTask): void {
-    const now = this.advance()
-    if (!this.#running.has(task)) return
-    const early = Math.min(task.dueAt, task.leaseEndsAt) - now
-    // Timers of Node.js may fire up to a millisecond early; a larger gap means the work was put off.
-    if (early > 2 && !this.#isOverMemory(task)) this.#schedule(task, now)
-    else this.#settle(task)
+    if (this.#runner.size >= slots) return 'slots'
+    return this.#runner.fits(request.demand, { ...capacity, parallel: slots }) ? undefined : 'resources'
   }
 
-  #settle (task: RunningTask): void {
-    const runMs = Math.min(task.dueAt, task.leaseEndsAt) - task.startedAt
-    if (this.#isOverMemory(task)) this.#finish(task, { outcome: 'over-memory', runMs })
-    else if (task.leaseEndsAt < task.dueAt) this.#finish(task, { outcome: 'timed-out', runMs })
-    else if (task.work.fail !== undefined) this.#finish(task, { outcome: 'failed', message: task.work.fail, runMs })
-    else this.#finish(task, { outcome: 'succeeded', result: task.work.result, runMs })
+  #createTask (id: string, request: StartTask, work: TaskWork, report: (end: TaskEnd) => void, now: number): RunningTask {
+    const { failAll, speed } = this.#faults
+    return {
+      id,
+      work: failAll ? { ...work, fail: 'the target fails every task' } : work,
+      demand: request.demand,
+      startedAt: now,
+      leaseEndsAt: now + request.leaseMs,
+      dueAt: now + (failAll ? 0 : work.workMs / speed),
+      timer: undefined,
+      report
+    }
   }
 
-  #isOverMemory (task: RunningTask): boolean {
-    return task.work.memoryMb > task.demand.memoryMb
+  #resume (now: number, freezeMs: number): void {
+    const frozenAt = Date.now() - freezeMs
+    this.#records.append({ kind: 'frozen', target: this.#options.id, from: frozenAt })
+    this.#runner.resume(now, freezeMs, frozenAt)
   }
 
-  #finish (task: RunningTask, end: TaskEnd, at = Date.now()): void {
-    if (!this.#running.delete(task)) return
-    clearTimeout(task.timer)
-    this.#used.processors -= task.demand.processors
-    this.#used.memoryMb -= task.demand.memoryMb
-    this.#used.accelerators -= task.demand.accelerators
-    this.#ended.set(task.id, { end, forgetAt: performance.now() + rememberMs })
+  #recordEnd (task: RunningTask, end: TaskEnd, at: number): void {
+    this.#ended.set(task.id, end, performance.now())
     this.#records.append({ at, kind: 'end', target: this.#options.id, boot: this.boot, id: task.id, outcome: end.outcome })
-    task.report(end)
   }
 
   #sweep (now: number): void {
     this.#sweptAt = now
-    // Entries are in the order of their times, so the first one to keep ends the sweep.
-    for (const [id, { forgetAt }] of this.#ended) {
-      if (forgetAt > now) break
-      this.#ended.delete(id)
-    }
-    for (const [id, forgetAt] of this.#deleted) {
-      if (forgetAt > now) break
-      this.#deleted.delete(id)
-    }
+    this.#ended.sweep(now)
+    this.#deleted.sweep(now)
   }
 }
