stand-ins: one function serves API and admin routes

Target and platform each wrote out how two servers start and close, and three stand-ins the route GET /records and the listening on IP:PORT. serveStandIn, addRecordsRoute, bindServer and closeListener hold this once; the target uses them here, the others follow. Addresses and request bodies leave http-server.ts for modules of their own, the settings of a target leave target.ts. http-server.ts re-exports the moved names until the others follow.

--- a/packages/stand-ins/src/http-server.ts
+++ b/packages/stand-ins/src/http-server.ts
@@ -1,12 +1,12 @@
-import { once } from 'node:events'
-import { createServer, type IncomingMessage, type Server } from 'node:http'
-import { type AddressInfo } from 'node:net'
+import { createServer, type Server } from 'node:http'
 import type Router from '@koa/router'
 import Koa, { type Context, type Next } from 'koa'
 import { ZodError } from 'zod'
+import { bindServer, closeListener, formatAddress } from './addresses.js'
+import { type RecordLog } from './record-log.js'
 
-/** Longest body in bytes that a stand-in accepts. */
-const maxBodyBytes = 64 * 1024 * 1024
+export * from './addresses.js'
+export * from './request-body.js'
 
 /** Longer than any run, so that a stand-in never closes a connection that a client is about to reuse. */
 const keepAliveMs = 600_000
@@ -15,52 +15,21 @@
 export interface RunningStandIn {
   /** Addresses by the names that the stand-in gives them. */
   readonly addresses: Readonly<Record<string, string>>
+  /** Stops listening and closes all connections. */
   close (): Promise<void>
 }
 
-/**
- * Reads and parses the JSON body of a request.
- *
- * @returns the parsed value
- * @throws an error for a body that is too long or malformed
- */
-export async function readJson (request: IncomingMessage): Promise<unknown> {
-  const body = await readBody(request)
-  return JSON.parse(body.toString('utf8')) as unknown
-}
-
-/**
- * Reads the whole body of a request.
- *
- * @throws an error for a body that is too long
- */
-export async function readBody (request: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    size += chunk.length
-    if (size > maxBodyBytes) throw new Error(`the body is longer than ${maxBodyBytes} bytes`)
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks)
-}
-
-/**
- * Splits `IP:PORT`.
- *
- * @returns host without brackets, and port
- */
-export function parseAddress (address: string): { host: string, port: number } {
-  const colon = address.lastIndexOf(':')
-  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
-}
-
-/**
- * Formats the address that a server listens on as `IP:PORT`.
- */
-export function formatAddress (info: AddressInfo | string | null): string {
-  if (info === null || typeof info === 'string') throw new Error('the server does not listen on an IP address')
-  return info.family === 'IPv6' ? `[${info.address}]:${info.port}` : `${info.address}:${info.port}`
+/** Routes of a stand-in and the addresses that serve them. */
+export interface StandInRoutes {
+  readonly api: Router
+  /** `IP:PORT` of the API; port 0 lets the system choose. */
+  readonly apiAddress: string
+  /** Further connections to the API are dropped; unlimited when absent. */
+  readonly maxApiConnections?: number
+  readonly admin: Router
+  /** `IP:PORT` of the admin routes; port 0 lets the system choose. */
+  readonly adminAddress: string
+  readonly records: RecordLog
 }
 
 /** Answers 400 to malformed requests, so that a fault of the dispatcher is told apart from one of the stand-in. */
@@ -77,26 +46,57 @@
 /**
  * Serves the routes of a router on an address.
  *
+ * @param router - the routes
  * @param address - `IP:PORT`; port 0 lets the system choose
- * @param maxConnections - further connections are dropped
+ * @param maxConnections - further connections are dropped; unlimited when absent
  * @returns the listening server
  */
 export async function serveRoutes (router: Router, address: string, maxConnections?: number): Promise<Server> {
   const app = new Koa().use(refuseMalformed).use(router.routes() as unknown as Koa.Middleware)
   const server = createServer({ keepAliveTimeout: keepAliveMs, requestTimeout: 0 }, app.callback())
   if (maxConnections !== undefined) server.maxConnections = maxConnections
-  const { host, port } = parseAddress(address)
-  server.listen(port, host, 4096)
-  await once(server, 'listening')
+  await bindServer(server, address)
   return server
 }
 
+/**
+ * Serves the API of a stand-in on one address, its admin routes on another.
+ *
+ * @param routes - the routes and their addresses; the records are closed with the servers
+ * @returns the running stand-in with the addresses `api` and `admin`
+ */
+export async function serveStandIn (routes: StandInRoutes): Promise<RunningStandIn> {
+  const api = await serveRoutes(routes.api, routes.apiAddress, routes.maxApiConnections)
+  const admin = await serveRoutes(routes.admin, routes.adminAddress)
+  return {
+    addresses: { api: formatAddress(api.address()), admin: formatAddress(admin.address()) },
+    close: async () => {
+      await Promise.all([closeServer(api), closeServer(admin)])
+      routes.records.close()
+    }
+  }
+}
+
+/**
+ * Adds the route `GET /records`, which answers with all records as JSON lines.
+ *
+ * @param admin - admin routes of a stand-in
+ * @param records - its records
+ */
+export function addRecordsRoute (admin: Router, records: RecordLog): void {
+  admin.get('/records', ctx => {
+    ctx.type = 'application/x-ndjson'
+    ctx.body = records.render()
+  })
+}
+
 /**
  * Closes a server and its connections.
+ *
+ * @param server - a listening server
  */
 export async function closeServer (server: Server): Promise<void> {
-  const closed = once(server, 'close')
-  server.close()
+  const closed = closeListener(server)
   server.closeAllConnections()
   await closed
 }
--- a/packages/stand-ins/src/target.ts
+++ b/packages/stand-ins/src/target.ts
@@ -1,33 +1,11 @@
+import { setTimeout as delay } from 'node:timers/promises'
 import Router from '@koa/router'
-import { z } from 'zod'
-import { addressSchema, cancellationsSchema, demandSchema, startTaskSchema, type TargetReply, type TaskEnd } from '@sesamereel/protocol'
-import { closeServer, formatAddress, readJson, type RunningStandIn, serveRoutes } from './http-server.js'
+import { cancellationsSchema, startTaskSchema, type TargetReply, type TaskEnd } from '@sesamereel/protocol'
+import { addRecordsRoute, type RunningStandIn, serveStandIn } from './http-server.js'
 import { RecordLog } from './record-log.js'
+import { readJson } from './request-body.js'
 import { TargetMachine } from './target-machine.js'
-
-export const targetSettingsSchema = z.strictObject({
-  id: z.string(),
-  address: addressSchema.default('127.0.0.1:0'),
-  adminAddress: addressSchema.default('127.0.0.1:0'),
-  slots: z.int().min(1).default(8),
-  /** Connections beyond this number are dropped. */
-  connections: z.int().min(1).default(60),
-  capacity: demandSchema.default({ processors: 16_000, memoryMb: 30_000, accelerators: 0 }),
-  /** The real run time of a task is its workMs divided by the speed. */
-  speed: z.number().positive().default(1),
-  /** File for the records; in memory when absent. */
-  recordFile: z.string().optional()
-})
-
-export type TargetSettings = z.input<typeof targetSettingsSchema>
-
-export const targetFaultsSchema = z.strictObject({
-  failAll: z.boolean(),
-  leaving: z.boolean(),
-  lingering: z.boolean(),
-  replyDelayMs: z.number().min(0),
-  speed: z.number().positive()
-}).partial()
+import { targetFaultsSchema, type TargetSettings, targetSettingsSchema } from './target-settings.js'
 
 /** Messages that a target received, by kind; `rejected` counts starts that a guard refused. */
 type MessageCounts = Record<'started' | 'rejected' | 'queries' | 'deletes' | 'cancellations' | 'status', number>
@@ -35,28 +13,57 @@
 /**
  * Starts a target: the target API on one address, switches and records on another.
  *
- * @returns addresses `api` and `admin`
+ * @param input - settings; absent ones get their defaults
+ * @returns the running target with the addresses `api` and `admin`
+ * @throws an error for invalid settings
  */
 export async function startTarget (input: TargetSettings): Promise<RunningStandIn> {
   const settings = targetSettingsSchema.parse(input)
   const records = new RecordLog(settings.recordFile)
   const machine = new TargetMachine(settings, records)
   const counts: MessageCounts = { started: 0, rejected: 0, queries: 0, deletes: 0, cancellations: 0, status: 0 }
-
-  const createReply = (): TargetReply => ({
-    boot: machine.boot, clockMs: machine.advance(), freeSlots: machine.freeSlots, leaving: machine.leaving
+  const standIn = await serveStandIn({
+    api: createApi(machine, counts, { id: settings.id, slots: settings.slots }),
+    apiAddress: settings.address,
+    maxApiConnections: settings.connections,
+    admin: createAdmin(machine, counts, records),
+    adminAddress: settings.adminAddress,
+    records
   })
-
-  const waitReplyDelay = async (): Promise<void> => {
-    const { replyDelayMs } = machine.faults
-    if (replyDelayMs > 0) await new Promise(resolve => setTimeout(resolve, replyDelayMs))
+  return {
+    addresses: standIn.addresses,
+    close: async () => {
+      machine.close()
+      await standIn.close()
+    }
   }
+}
 
+function createApi (machine: TargetMachine, counts: MessageCounts, description: { readonly id: string, readonly slots: number }): Router {
   const router = new Router()
   router.get('/status', ctx => {
     counts.status++
-    ctx.body = { ...createReply(), id: settings.id, slots: settings.slots, running: machine.listRunning() }
+    ctx.body = { ...createReply(machine), ...description, running: machine.listRunning() }
   })
+  addStartRoute(router, machine, counts)
+  router.get('/tasks/:id', ctx => {
+    counts.queries++
+    ctx.body = { task: machine.find(ctx.params['id']!), ...createReply(machine) }
+  })
+  router.delete('/tasks/:id', ctx => {
+    counts.deletes++
+    ctx.body = { task: machine.remove(ctx.params['id']!), ...createReply(machine) }
+  })
+  router.post('/cancellations', async ctx => {
+    counts.cancellations++
+    const { ids } = cancellationsSchema.parse(await readJson(ctx.req))
+    ctx.body = { tasks: ids.map(id => machine.cancel(id)), ...createReply(machine) }
+  })
+  return router
+}
+
+/** The reply to a start is sent when the task has ended or a guard has refused it. */
+function addStartRoute (router: Router, machine: TargetMachine, counts: MessageCounts): void {
   router.post('/tasks/:id', async ctx => {
     const request = startTaskSchema.parse(await readJson(ctx.req))
     let report: (end: TaskEnd) => void = () => {}
@@ -65,45 +72,34 @@
     if (refused === undefined) {
       counts.started++
       const end = await ended
-      await waitReplyDelay()
-      ctx.body = { ...createReply(), end }
+      await waitReplyDelay(machine)
+      ctx.body = { ...createReply(machine), end }
     } else {
       counts.rejected++
-      await waitReplyDelay()
+      await waitReplyDelay(machine)
       ctx.status = 409
-      ctx.body = { ...createReply(), refused }
+      ctx.body = { ...createReply(machine), refused }
     }
   })
-  router.get('/tasks/:id', ctx => {
-    counts.queries++
-    ctx.body = { task: machine.find(ctx.params['id']!), ...createReply() }
-  })
-  router.delete('/tasks/:id', ctx => {
-    counts.deletes++
-    ctx.body = { task: machine.remove(ctx.params['id']!), ...createReply() }
-  })
-  router.post('/cancellations', async ctx => {
-    counts.cancellations++
-    const { ids } = cancellationsSchema.parse(await readJson(ctx.req))
-    ctx.body = { tasks: ids.map(id => machine.cancel(id)), ...createReply() }
-  })
+}
 
+function createAdmin (machine: TargetMachine, counts: MessageCounts, records: RecordLog): Router {
   const admin = new Router()
-  admin.get('/records', ctx => { ctx.type = 'application/x-ndjson'; ctx.body = records.render() })
+  addRecordsRoute(admin, records)
   admin.get('/counts', ctx => { ctx.body = counts })
   admin.put('/faults', async ctx => {
     machine.setFaults(targetFaultsSchema.parse(await readJson(ctx.req)))
     ctx.body = machine.faults
   })
+  return admin
+}
 
-  const api = await serveRoutes(router, settings.address, settings.connections)
-  const adminServer = await serveRoutes(admin, settings.adminAddress)
-  return {
-    addresses: { api: formatAddress(api.address()), admin: formatAddress(adminServer.address()) },
-    close: async () => {
-      machine.close()
-      await Promise.all([closeServer(api), closeServer(adminServer)])
-      records.close()
-    }
-  }
+/** Creates the fields that every reply of a target carries. */
+function createReply (machine: TargetMachine): TargetReply {
+  return { boot: machine.boot, clockMs: machine.advance(), freeSlots: machine.freeSlots, leaving: machine.leaving }
+}
+
+async function waitReplyDelay (machine: TargetMachine): Promise<void> {
+  const { replyDelayMs } = machine.faults
+  if (replyDelayMs > 0) await delay(replyDelayMs)
 }
