--- a/packages/stand-ins/src/network.ts
+++ b/packages/stand-ins/src/network.ts
@@ -1,84 +1,84 @@
 import Router from '@koa/router'
 import { z } from 'zod'
-import { addressSchema } from '@sesamereel/protocol'
-import { closeServer, formatAddress, readJson, type RunningStandIn, serveRoutes } from './http-server.js'
-import { NetworkLink } from './network-link.js'
+import { addRecordsRoute, closeServer, type RunningStandIn, serveRoutes } from './http-server.js'
+import { formatAddress } from './addresses.js'
+import { type LinkSettings, NetworkLink } from './network-link.js'
+import { type LinkChange, linkChangeSchema, linkSettingsSchema, type NetworkSettings, networkSettingsSchema } from './network-settings.js'
 import { RecordLog } from './record-log.js'
+import { readJson } from './request-body.js'
 
-const linkSettingsSchema = z.strictObject({
-  name: z.string(),
-  listen: addressSchema.default('127.0.0.1:0'),
-  connect: addressSchema,
-  delayMs: z.number().min(0).default(0)
-})
+/** The links of a network by name. */
+class LinkTable {
+  readonly #links = new Map<string, NetworkLink>()
 
-export const networkSettingsSchema = z.strictObject({
-  adminAddress: addressSchema.default('127.0.0.1:0'),
-  links: z.array(linkSettingsSchema).default([]),
-  recordFile: z.string().optional()
-})
+  get links (): readonly NetworkLink[] { return [...this.#links.values()] }
 
-export type NetworkSettings = z.input<typeof networkSettingsSchema>
+  find (name: string): NetworkLink | undefined { return this.#links.get(name) }
 
-/** Body of `PUT /links`: what to change at the named links. */
-export const linkChangeSchema = z.strictObject({
-  names: z.array(z.string()),
-  mode: z.enum(['open', 'cut', 'cut-to-server', 'cut-to-client', 'refuse']).optional(),
-  delayMs: z.number().min(0).optional(),
-  /** Existing connections go silent for good. */
-  silence: z.boolean().default(false)
-})
+  /** Starts links one after the other and returns their addresses by name. */
+  async add (added: readonly LinkSettings[]): Promise<Readonly<Record<string, string>>> {
+    const addresses: Record<string, string> = {}
+    for (const settings of added) addresses[settings.name] = await this.#addLink(settings)
+    return addresses
+  }
 
-/**
- * Starts a network: any number of links, with switches and records on an admin address.
- *
- * @returns address `admin`, and one address for each link of the settings under its name
- */
-export async function startNetwork (input: NetworkSettings): Promise<RunningStandIn> {
-  const settings = networkSettingsSchema.parse(input)
-  const records = new RecordLog(settings.recordFile)
-  const links = new Map<string, NetworkLink>()
+  async close (): Promise<void> {
+    await Promise.all(this.links.map(async link => { await link.close() }))
+  }
 
-  const addLink = async (link: z.output<typeof linkSettingsSchema>): Promise<string> => {
-    if (links.has(link.name)) throw new Error(`a link named ${JSON.stringify(link.name)} exists already`)
-    const started = new NetworkLink(link)
-    links.set(link.name, started)
-    return await started.listen(link.listen)
+  async #addLink (settings: LinkSettings): Promise<string> {
+    if (this.#links.has(settings.name)) throw new Error(`a link named ${JSON.stringify(settings.name)} exists already`)
+    const link = new NetworkLink(settings)
+    this.#links.set(settings.name, link)
+    return await link.listen(settings.listen)
   }
+}
 
+function applyChange (link: NetworkLink, { delayMs, mode, silence }: LinkChange): void {
+  if (delayMs !== undefined) link.setDelay(delayMs)
+  if (silence) link.setSilent()
+  if (mode !== undefined) link.setMode(mode)
+}
+
+function createAdmin (links: LinkTable, records: RecordLog): Router {
   const admin = new Router()
-  admin.get('/records', ctx => { ctx.type = 'application/x-ndjson'; ctx.body = records.render() })
+  addRecordsRoute(admin, records)
   admin.get('/links', ctx => {
-    ctx.body = [...links.values()].map(link => ({ name: link.name, address: link.address, mode: link.mode, connections: link.countConnections() }))
+    ctx.body = links.links.map(link => ({ name: link.name, address: link.address, mode: link.mode, connections: link.countConnections() }))
   })
   admin.post('/links', async ctx => {
-    const added = z.array(linkSettingsSchema).parse(await readJson(ctx.req))
-    const addresses: Record<string, string> = {}
-    for (const link of added) addresses[link.name] = await addLink(link)
-    ctx.body = addresses
+    ctx.body = await links.add(z.array(linkSettingsSchema).parse(await readJson(ctx.req)))
   })
   admin.put('/links', async ctx => {
     const change = linkChangeSchema.parse(await readJson(ctx.req))
     for (const name of change.names) {
-      const link = links.get(name)
+      const link = links.find(name)
       if (link === undefined) ctx.throw(404, `there is no link ${JSON.stringify(name)}`)
-      else {
-        if (change.delayMs !== undefined) link.setDelay(change.delayMs)
-        if (change.silence) link.setSilent()
-        if (change.mode !== undefined) link.setMode(change.mode)
-      }
+      else applyChange(link, change)
     }
     records.append({ kind: 'links', ...change })
     ctx.body = {}
   })
+  return admin
+}
 
-  const addresses: Record<string, string> = {}
-  for (const link of settings.links) addresses[link.name] = await addLink(link)
-  const adminServer = await serveRoutes(admin, settings.adminAddress)
+/**
+ * Starts a network: any number of links, with switches and records on an admin address.
+ *
+ * @param input - settings; absent ones get their defaults
+ * @returns the running network with the address `admin`, and one address for each link of the settings under its name
+ * @throws an error for invalid settings
+ */
+export async function startNetwork (input: NetworkSettings): Promise<RunningStandIn> {
+  const settings = networkSettingsSchema.parse(input)
+  const records = new RecordLog(settings.recordFile)
+  const links = new LinkTable()
+  const addresses = await links.add(settings.links)
+  const adminServer = await serveRoutes(createAdmin(links, records), settings.adminAddress)
   return {
     addresses: { ...addresses, admin: formatAddress(adminServer.address()) },
     close: async () => {
-      await Promise.all([closeServer(adminServer), ...[...links.values()].map(link => link.close())])
+      await Promise.all([closeServer(adminServer), links.close()])
       records.close()
     }
   }
