stand-ins: TSDoc on the remaining public items

Row store, record log and program get complete doc comments and names in the field's terms (replies of transactions that are kept for retries). The re-exports in http-server.ts go, since nothing imports the moved names there.

--- a/packages/stand-ins/src/http-server.ts
+++ b/packages/stand-ins/src/http-server.ts
@@ -5,9 +5,6 @@
 import { bindServer, closeListener, formatAddress } from './addresses.js'
 import { type RecordLog } from './record-log.js'
 
-export * from './addresses.js'
-export * from './request-body.js'
-
 /** Longer than any run, so that a stand-in never closes a connection that a client is about to reuse. */
 const keepAliveMs = 600_000
 
--- a/packages/stand-ins/src/program.ts
+++ b/packages/stand-ins/src/program.ts
@@ -5,7 +5,7 @@
 import { startPlatform } from './platform.js'
 import { startTarget } from './target.js'
 
-/** Each start function validates the settings by its own schema. */
+/** Start functions by kind; each validates the settings by its own schema. */
 const starters: Readonly<Record<string, (settings: never) => Promise<RunningStandIn>>> = {
   platform: startPlatform,
   target: startTarget,
@@ -18,7 +18,8 @@
  * JSON file. Prints its addresses as one line of JSON when it is ready. Ends on SIGTERM, or when its
  * standard input ends, so that it never outlives the program that started it.
  *
- * @param args - arguments of the command line
+ * @param args - command-line arguments
+ * @throws an error for an unknown kind or invalid settings
  */
 export async function runProgram (args: readonly string[]): Promise<void> {
   const [kind = '', text = '{}'] = args
--- a/packages/stand-ins/src/record-log.ts
+++ b/packages/stand-ins/src/record-log.ts
@@ -1,8 +1,8 @@
 import { closeSync, openSync, readFileSync, writeSync } from 'node:fs'
 
 /**
- * Keeps what a stand-in saw, one JSON line for each event, each with the time `at` from the
- * clock of the machine. With a file, each line is written before `append` returns, so that the
+ * Log of what happened at a stand-in, one JSON line for each event, each with the wall-clock time
+ * `at` in milliseconds. With a file, each line is written before `append` returns, so that the
  * records survive a killed process.
  */
 export class RecordLog {
@@ -39,6 +39,7 @@
     return this.#lines.map(line => line + '\n').join('')
   }
 
+  /** Closes the file. */
   close (): void {
     if (this.#file !== undefined) closeSync(this.#file)
   }
--- a/packages/stand-ins/src/row-store.ts
+++ b/packages/stand-ins/src/row-store.ts
@@ -1,8 +1,9 @@
 import { type Row, type RowKey, type Transact } from '@sesamereel/protocol'
 
-/** Committed attempts that are remembered, so that a repeated one gets the same reply. */
-const rememberedAttempts = 10_000
+/** Committed transactions whose replies are kept, so that a retry gets the same reply. */
+const maxKeptReplies = 10_000
 
+/** Reply to a transaction: the written rows, or the present rows of the checks that failed. */
 export type TransactReply = { readonly committed: boolean, readonly rows: readonly Row[] }
 
 interface RowVersion {
@@ -10,19 +11,21 @@
   readonly row: Row
 }
 
-/** Rows with versions; a transaction writes everything or nothing. Keeps old versions for stale reads. */
+/** Rows with versions and atomic transactions. Keeps old versions for stale reads. */
 export class RowStore {
   readonly #rows = new Map<string, RowVersion[]>()
-  readonly #attempts = new Map<string, TransactReply>()
+  readonly #replies = new Map<string, TransactReply>()
 
   /**
-   * Applies a transaction if all its checks hold.
+   * Applies a transaction if all its checks hold. A retry of a committed transaction gets the
+   * first reply again.
    *
+   * @param request - checks and writes
    * @param now - time of the write in milliseconds
    * @returns the written rows, or the present rows of the checks that failed
    */
   transact (request: Transact, now: number): TransactReply {
-    const earlier = this.#attempts.get(request.attemptId)
+    const earlier = this.#replies.get(request.attemptId)
     if (earlier !== undefined) return earlier
     const failed = request.checks.map(check => ({ check, row: this.read(check) })).filter(({ check, row }) => row.version !== check.version)
     if (failed.length > 0) return { committed: false, rows: failed.map(({ row }) => row) }
@@ -34,14 +37,15 @@
       return row
     })
     const reply = { committed: true, rows }
-    this.#attempts.set(request.attemptId, reply)
-    if (this.#attempts.size > rememberedAttempts) this.#attempts.delete(this.#attempts.keys().next().value!)
+    this.#replies.set(request.attemptId, reply)
+    if (this.#replies.size > maxKeptReplies) this.#replies.delete(this.#replies.keys().next().value!)
     return reply
   }
 
   /**
-   * Reads a row, as it is or as it was.
+   * Reads a row as of now or of an earlier time.
    *
+   * @param key - table and key of the row
    * @param asOf - time in milliseconds; the newest version when absent
    * @returns the row; version 0 and value null when it does not exist
    */
