--- a/packages/stand-ins/src/network.ts
+++ b/packages/stand-ins/src/network.ts
@@ -1,7 +1,7 @@
 import Router from '@koa/router'
 import { z } from 'zod'
-import { addRecordsRoute, closeServer, type RunningStandIn, serveRoutes } from './http-server.js'
 import { formatAddress } from './addresses.js'
+import { addRecordsRoute, closeServer, type RunningStandIn, serveRoutes } from './http-server.js'
 import { type LinkSettings, NetworkLink } from './network-link.js'
 import { type LinkChange, linkChangeSchema, linkSettingsSchema, type NetworkSettings, networkSettingsSchema } from './network-settings.js'
 import { RecordLog } from './record-log.js'
