End only its own cut with the end of a network fault

Cuts of a direction are now kept one by one, and cut and partition return the function that ends them; heal still removes all. The faults of instances and network have modules of their own.

--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -100,6 +100,11 @@
     return latest?.instance
   }
 
+  /** @returns the names of the live instances of a domain */
+  listInstances (domain: string): readonly string[] {
+    return [...this.instances.values()].filter(parts => parts.entry.domain === domain).map(parts => parts.entry.instance)
+  }
+
   /** @returns the targets of a domain */
   listTargets (domain: string): readonly EmulatedTarget[] {
     return [...this.targets.values()].filter(target => target.info.domain === domain)
--- a/packages/emulator/src/emulated-network.ts
+++ b/packages/emulator/src/emulated-network.ts
@@ -6,26 +6,34 @@
 /** Delivers calls and messages between named endpoints, and drops them in directions that are cut. */
 export class EmulatedNetwork {
   readonly #clock: Clock
-  /** Directions that are cut, as `from>to`. */
-  readonly #cuts = new Set<string>()
+  /** The cuts in force, by direction as `from>to`; a direction may be cut several times over. */
+  readonly #cuts = new Map<string, Set<symbol>>()
 
   constructor (clock: Clock) {
     this.#clock = clock
   }
 
-  /** Cuts one direction; messages in transit that arrive during the cut are dropped too. */
-  cut (from: string, to: string): void {
-    this.#cuts.add(`${from}>${to}`)
+  /**
+   * Cuts one direction; messages in transit that arrive during the cut are dropped too.
+   *
+   * @returns a function that ends this cut and leaves others of the same direction in force
+   */
+  cut (from: string, to: string): () => void {
+    const direction = `${from}>${to}`
+    const cuts = this.#cuts.get(direction) ?? new Set()
+    const cut = Symbol(direction)
+    this.#cuts.set(direction, cuts.add(cut))
+    return () => { cuts.delete(cut) }
   }
 
-  /** Cuts both directions between every endpoint of one group and every endpoint of the other. */
-  partition (first: readonly string[], second: readonly string[]): void {
-    for (const a of first) {
-      for (const b of second) {
-        this.cut(a, b)
-        this.cut(b, a)
-      }
-    }
+  /**
+   * Cuts both directions between every endpoint of one group and every endpoint of the other.
+   *
+   * @returns a function that ends these cuts and no others
+   */
+  partition (first: readonly string[], second: readonly string[]): () => void {
+    const ends = first.flatMap(a => second.flatMap(b => [this.cut(a, b), this.cut(b, a)]))
+    return () => { for (const end of ends) end() }
   }
 
   /** Removes all cuts. */
@@ -35,7 +43,7 @@
 
   /** @returns whether messages in this direction are delivered now */
   isOpen (from: string, to: string): boolean {
-    return !this.#cuts.has(`${from}>${to}`)
+    return (this.#cuts.get(`${from}>${to}`)?.size ?? 0) === 0
   }
 
   /** Runs a callback after the latency, unless the direction is cut when the message is sent or when it arrives. */
--- /dev/null
+++ b/packages/emulator/src/instance-faults.ts
@@ -0,0 +1,48 @@
+import { type EmulatedFleet } from './emulated-fleet.js'
+import { pickInstance } from './fault-choice.js'
+
+/** Faults of the instances themselves. */
+export const instanceFaultNames = ['kill', 'stop'] as const
+
+export type InstanceFaultName = (typeof instanceFaultNames)[number]
+
+/** Causes faults of randomly picked instances. */
+export class InstanceFaults {
+  readonly #fleet: EmulatedFleet
+
+  constructor (fleet: EmulatedFleet) {
+    this.#fleet = fleet
+  }
+
+  /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
+  inject (name: InstanceFaultName): (() => void) | undefined {
+    const instance = pickInstance(this.#fleet)
+    if (instance === undefined) return undefined
+    switch (name) {
+      case 'kill': return this.#killInstance(instance)
+      case 'stop': return this.#stopInstance(instance)
+    }
+  }
+
+  #killInstance (instance: string): () => void {
+    const { domain } = this.#fleet.instances.get(instance)!.entry
+    this.#fleet.killInstance(instance)
+    return () => { this.#startInstance(instance, domain) }
+  }
+
+  #stopInstance (instance: string): () => void {
+    const parts = this.#fleet.instances.get(instance)!
+    parts.election.leave().catch(() => {})
+    return () => {
+      if (this.#fleet.instances.get(instance) !== parts) return
+      parts.owner.endAllJobs('the instance stops')
+      this.#fleet.killInstance(instance)
+      this.#fleet.startInstance(instance, parts.entry.domain)
+    }
+  }
+
+  /** Starts an instance unless another fault's end has done so. */
+  #startInstance (instance: string, domain: string): void {
+    if (!this.#fleet.instances.has(instance)) this.#fleet.startInstance(instance, domain)
+  }
+}
--- a/packages/emulator/src/random-fault-scenario.ts
+++ b/packages/emulator/src/random-fault-scenario.ts
@@ -1,6 +1,8 @@
 import { type EmulatedFleet, emulatedTargetTable } from './emulated-fleet.js'
 import { FaultSchedule } from './fault-schedule.js'
 import { DependencyFaults, dependencyFaultNames } from './dependency-faults.js'
+import { InstanceFaults, instanceFaultNames } from './instance-faults.js'
+import { NetworkFaults, networkFaultNames } from './network-faults.js'
 
 /** Interval in milliseconds at which jobs are submitted. */
 const submitIntervalMs = 40
@@ -11,7 +13,7 @@
 /** Time in milliseconds after the end of all faults in which the fleet must recover and all jobs must end. */
 const recoveryPeriodMs = 12_000
 
-const faultNames = ['kill', 'stop', 'cut-domain', 'cut-instance', 'cut-targets', 'one-way', ...dependencyFaultNames] as const
+const faultNames = [...instanceFaultNames, ...networkFaultNames, ...dependencyFaultNames] as const
 
 type FaultName = (typeof faultNames)[number]
 
@@ -31,11 +33,15 @@
 /** Submits jobs to a fleet while random faults overlap and repeat; the fleet's seed determines all choices. */
 export class RandomFaultScenario {
   readonly #fleet: EmulatedFleet
+  readonly #instanceFaults: InstanceFaults
+  readonly #networkFaults: NetworkFaults
   readonly #dependencyFaults: DependencyFaults
   readonly #schedule: FaultSchedule<FaultName>
 
   constructor (fleet: EmulatedFleet) {
     this.#fleet = fleet
+    this.#instanceFaults = new InstanceFaults(fleet)
+    this.#networkFaults = new NetworkFaults(fleet)
     const { store, targets, lateOrders, random } = fleet
     this.#dependencyFaults = new DependencyFaults({
       store, targets, lateOrders, random, writeTargetEntry: (target, draining) => { store.put(emulatedTargetTable, target.info.id, JSON.stringify({ ...target.info, draining })) }
@@ -96,74 +102,9 @@
 
   /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
   #inject (name: FaultName): (() => void) | undefined {
-    switch (name) {
-      case 'kill': return this.#killInstance()
-      case 'stop': return this.#stopInstance()
-      case 'cut-domain': return this.#cutDomain()
-      case 'cut-instance': return this.#cutInstance()
-      case 'cut-targets': return this.#cutTarget(true)
-      case 'one-way': return this.#cutTarget(false)
-      default: return this.#dependencyFaults.inject(name)
-    }
-  }
-
-  #pickInstance (): string | undefined {
-    const { random, instances } = this.#fleet
-    // Half of the faults hit an instance that runs a dispatcher, if there is one.
-    const dispatchingInstances = [...instances].filter(([, parts]) => parts.server.listDispatchers().length > 0).map(([name]) => name)
-    return random.drawBoolean(0.5) ? random.pick(dispatchingInstances) : random.pick([...instances.keys()])
-  }
-
-  #killInstance (): (() => void) | undefined {
-    const instance = this.#pickInstance()
-    if (instance === undefined) return undefined
-    const { domain } = this.#fleet.instances.get(instance)!.entry
-    this.#fleet.killInstance(instance)
-    return () => { if (!this.#fleet.instances.has(instance)) this.#fleet.startInstance(instance, domain) }
-  }
-
-  #stopInstance (): (() => void) | undefined {
-    const instance = this.#pickInstance()
-    if (instance === undefined) return undefined
-    const parts = this.#fleet.instances.get(instance)!
-    parts.election.leave().catch(() => {})
-    return () => {
-      if (this.#fleet.instances.get(instance) !== parts) return
-      parts.owner.endAllJobs('the instance stops')
-      this.#fleet.killInstance(instance)
-      this.#fleet.startInstance(instance, parts.entry.domain)
-    }
-  }
-
-  #listEndpoints (): readonly string[] {
-    return [...this.#fleet.instances.keys(), ...this.#fleet.targets.keys(), 'store']
-  }
-
-  /** Cuts off a group of endpoints from all others; the returned function removes every cut in the network. */
-  #isolate (inside: readonly string[]): () => void {
-    const members = new Set(inside)
-    this.#fleet.network.partition(inside, this.#listEndpoints().filter(endpoint => !members.has(endpoint)))
-    return () => { this.#fleet.network.heal() }
-  }
-
-  #cutDomain (): () => void {
-    const { domain } = this.#dependencyFaults.pickTarget().info
-    const instances = [...this.#fleet.instances.values()].filter(parts => parts.entry.domain === domain).map(parts => parts.entry.instance)
-    return this.#isolate([...instances, ...this.#fleet.listTargets(domain).map(target => target.info.id)])
-  }
-
-  #cutInstance (): (() => void) | undefined {
-    const instance = this.#pickInstance()
-    return instance === undefined ? undefined : this.#isolate([instance])
-  }
-
-  #cutTarget (bothWays: boolean): () => void {
-    const { id } = this.#dependencyFaults.pickTarget().info
-    for (const instance of this.#fleet.instances.keys()) {
-      this.#fleet.network.cut(id, instance)
-      if (bothWays) this.#fleet.network.cut(instance, id)
-    }
-    return () => { this.#fleet.network.heal() }
+    if (isFault(instanceFaultNames, name)) return this.#instanceFaults.inject(name)
+    if (isFault(networkFaultNames, name)) return this.#networkFaults.inject(name)
+    return this.#dependencyFaults.inject(name)
   }
 
   /** Counts the runs that the dispatchers' sessions still hold. */
@@ -186,3 +127,7 @@
     return jobs.every(job => completed.has(job.jobId))
   }
 }
+
+function isFault<N extends string> (names: readonly N[], name: string): name is N {
+  return names.includes(name as N)
+}
