--- a/packages/emulator/src/emulated-connector.ts
+++ b/packages/emulator/src/emulated-connector.ts
@@ -6,7 +6,7 @@
 
 /** Range in milliseconds of the delay after which a late order reaches its target. */
 const minLateDelayMs = 2_000
-const maxLateDelayMs = 6_000
+const maxLateDelayMs = 12_000
 
 const noAnswer = { kind: 'no-answer', message: 'no reply' } as const
 
