--- a/packages/emulator/src/play-days.ts
+++ b/packages/emulator/src/play-days.ts
@@ -24,6 +24,7 @@
     if (!hasPassed) failedCount++
     process.stdout.write(`seed ${seed}: ${hasPassed ? 'kept' : 'BROKEN'}, ${Math.round(result.completedFraction * 1_000) / 10}% served, ${result.faults.length} faults${result.isRecovered ? '' : ', not recovered'}${result.reservedRuns === 0 ? '' : `, ${result.reservedRuns} runs reserved`}\n`)
     for (const violation of result.violations.slice(0, 5)) process.stdout.write(`  ${violation}\n`)
+    if (!hasPassed) process.stdout.write(`  faults: ${result.faults.join(', ')}\n`)
   }
   process.stdout.write(`${scenarios - failedCount} passed, ${failedCount} failed\n`)
   process.exitCode = failedCount === 0 ? 0 : 1
