Emulate paused and slow instances

All instances shared one clock, so none could be paused while its peers went on. Each instance now has a process with its own timers and messages; they wait during a pause, or during random stalls of a slow instance, and run afterwards, timers first. A killed process sends nothing but the reset of its connections.

--- a/packages/emulator/src/emulated-connector.ts
+++ b/packages/emulator/src/emulated-connector.ts
@@ -48,7 +48,7 @@
   async call<T> (target: EmulatedTarget, timeoutMs: number, serve: (reply: (value: T) => void) => void): Promise<T | typeof noAnswer> {
     if (this.#random.drawBoolean(this.#lateOrders.probability)) {
       this.#clock.startTimer(this.#random.pickInteger(minLateDelayMs, maxLateDelayMs), () => { if (target.isUp) serve(() => {}) })
-      await new Promise<void>(resolve => { this.#clock.startTimer(timeoutMs, resolve) })
+      await new Promise<void>(resolve => { this.#network.getClock(this.#endpoint).startTimer(timeoutMs, resolve) })
       return noAnswer
     }
     return await this.#network.call<T>(this.#endpoint, target.info.id, timeoutMs, reply => { if (target.isUp) serve(reply) }) ?? noAnswer
--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -3,6 +3,7 @@
 import { EmulatedConnector, type LateOrders } from './emulated-connector.js'
 import { EmulatedNetwork } from './emulated-network.js'
 import { EmulatedPeerNetwork } from './emulated-peer-network.js'
+import { EmulatedProcess } from './emulated-process.js'
 import { EmulatedStore } from './emulated-store.js'
 import { EmulatedTarget } from './emulated-target.js'
 import { emulatedMaxAttempts, FleetHistory } from './fleet-history.js'
@@ -43,6 +44,7 @@
 /** One process of the emulated fleet, with the parts of the product that it runs. */
 export interface EmulatedInstance {
   readonly entry: InstanceEntry
+  readonly process: EmulatedProcess
   readonly owner: JobOwner
   readonly election: DispatcherElection
   readonly server: OwnerServer
@@ -59,7 +61,7 @@
   readonly lateOrders: LateOrders = { probability: 0 }
   readonly targets = new Map<string, EmulatedTarget>()
   readonly instances = new Map<string, EmulatedInstance>()
-  readonly #peers = new EmulatedPeerNetwork(this.network, this.clock)
+  readonly #peers = new EmulatedPeerNetwork(this.network)
   readonly #options: EmulatedFleetOptions
   #jobCount = 0
 
@@ -85,9 +87,12 @@
 
   /** Ends an instance at once, without a handover. */
   killInstance (instance: string): void {
-    this.instances.get(instance)?.stop()
-    this.instances.delete(instance)
+    const parts = this.instances.get(instance)
+    if (parts === undefined) return
     this.#peers.removeServer(instance)
+    this.instances.delete(instance)
+    parts.process.end(true)
+    parts.stop()
   }
 
   /** @returns the instance whose dispatcher of a domain has the highest token, or undefined when there is none */
@@ -127,13 +132,19 @@
     const parts = this.instances.get(instance)!
     const spec = createJob(jobId, tasks, workMs)
     this.history.recordSubmission(jobId)
-    const handle = parts.owner.submit(spec, 8_000)
-    const answer = handle.answer.then(result => {
-      // An instance that has ended answers no callers.
-      if (this.instances.get(instance) === parts) this.history.recordAnswer(jobId, result)
-      return result
+    let abandon = (): void => {}
+    const answer = new Promise<JobAnswer>(resolve => {
+      parts.process.receive(() => {
+        const handle = parts.owner.submit(spec, 8_000)
+        abandon = () => { handle.abandon('the caller has left') }
+        handle.answer.then(result => {
+          // An instance that has ended answers no callers.
+          if (this.instances.get(instance) === parts) this.history.recordAnswer(jobId, result)
+          resolve(result)
+        }).catch(() => {})
+      })
     })
-    return { jobId, answer, abandon: () => { handle.abandon('the caller has left') } }
+    return { jobId, answer, abandon: () => { parts.process.receive(() => { abandon() }) } }
   }
 
   #createJobId (): string {
@@ -151,7 +162,9 @@
   }
 
   #createInstance (self: InstanceEntry): EmulatedInstance {
-    const { clock, network } = this
+    const { network } = this
+    const clock = new EmulatedProcess(this.clock, this.random)
+    network.attachProcess(self.instance, clock)
     const log = new NoopLog()
     const metrics = new NoopMetrics()
     const limits = defaultFleetLimits
@@ -177,7 +190,7 @@
         token,
         clock,
         limits,
-        connector: new EmulatedConnector(self.instance, this.targets, network, clock, this.random, this.lateOrders),
+        connector: new EmulatedConnector(self.instance, this.targets, network, this.clock, this.random, this.lateOrders),
         log,
         metrics,
         remoteFactor: 1,
@@ -205,7 +218,7 @@
       directory.close()
       targets.close()
     }
-    return { entry: self, owner, election, server, stop }
+    return { entry: self, process: clock, owner, election, server, stop }
   }
 }
 
--- a/packages/emulator/src/emulated-network.ts
+++ b/packages/emulator/src/emulated-network.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@sesamereel/coordination'
+import { type EmulatedProcess } from './emulated-process.js'
 
 /** One-way latency in milliseconds between two endpoints. */
 const latencyMs = 0.5
@@ -8,11 +9,22 @@
   readonly #clock: Clock
   /** The cuts in force, by direction as `from>to`; a direction may be cut several times over. */
   readonly #cuts = new Map<string, Set<symbol>>()
+  readonly #processes = new Map<string, EmulatedProcess>()
 
   constructor (clock: Clock) {
     this.#clock = clock
   }
 
+  /** Lets a process handle the messages to an endpoint, in place of an earlier process. */
+  attachProcess (endpoint: string, process: EmulatedProcess): void {
+    this.#processes.set(endpoint, process)
+  }
+
+  /** @returns the clock by which the timers of an endpoint run */
+  getClock (endpoint: string): Clock {
+    return this.#processes.get(endpoint) ?? this.#clock
+  }
+
   /**
    * Cuts one direction; messages in transit that arrive during the cut are dropped too.
    *
@@ -46,10 +58,13 @@
     return (this.#cuts.get(`${from}>${to}`)?.size ?? 0) === 0
   }
 
-  /** Runs a callback after the latency, unless the direction is cut when the message is sent or when it arrives. */
+  /**
+   * Runs a callback at the receiver after the latency, unless the direction is cut when the message is
+   * sent or when it arrives. A process that has ended sends nothing.
+   */
   deliver (from: string, to: string, callback: () => void): void {
-    if (!this.isOpen(from, to)) return
-    this.#clock.startTimer(latencyMs, () => { if (this.isOpen(from, to)) callback() })
+    if (!this.isOpen(from, to) || this.#processes.get(from)?.hasEnded === true) return
+    this.#clock.startTimer(latencyMs, () => { if (this.isOpen(from, to)) this.receive(to, callback) })
   }
 
   /**
@@ -60,7 +75,7 @@
    */
   async call<T> (from: string, to: string, timeoutMs: number, serve: (reply: (value: T) => void) => void): Promise<T | undefined> {
     return await new Promise<T | undefined>(resolve => {
-      const cancel = this.#clock.startTimer(timeoutMs, () => { resolve(undefined) })
+      const cancel = this.getClock(from).startTimer(timeoutMs, () => { resolve(undefined) })
       this.deliver(from, to, () => {
         serve(value => {
           this.deliver(to, from, () => {
@@ -71,4 +86,11 @@
       })
     })
   }
+
+  /** Hands a message that has arrived to the process of an endpoint. */
+  receive (endpoint: string, callback: () => void): void {
+    const process = this.#processes.get(endpoint)
+    if (process === undefined) callback()
+    else process.receive(callback)
+  }
 }
--- a/packages/emulator/src/emulated-peer-network.ts
+++ b/packages/emulator/src/emulated-peer-network.ts
@@ -1,7 +1,9 @@
-import { type ManualClock } from '@sesamereel/coordination'
 import { type OwnerServer, PeerConnector, type PeerHandler, type PeerOpenResult, type PeerStream } from '@sesamereel/fleet'
 import { type EmulatedNetwork } from './emulated-network.js'
 
+/** Time in milliseconds in which a connection is opened or refused. */
+const connectDurationMs = 1
+
 /** One end of a stream between two instances; messages that are not dropped arrive in order. */
 class StreamEnd implements PeerStream {
   remoteEnd: StreamEnd | undefined
@@ -29,6 +31,13 @@
     this.#network.deliver(this.#from, this.#to, () => { this.remoteEnd!.close('closed by the peer') })
   }
 
+  /** Emulates the end of the process at this end: nothing more is sent but the reset of the connection. */
+  break (): void {
+    if (!this.#isOpen) return
+    this.#isOpen = false
+    this.#network.deliver(this.#from, this.#to, () => { this.remoteEnd!.close('ECONNRESET') })
+  }
+
   receive (message: unknown): void {
     if (this.#isOpen) this.handler?.onMessage(message)
   }
@@ -39,11 +48,9 @@
   readonly #servers = new Map<string, OwnerServer>()
   readonly #streams = new Map<string, Set<StreamEnd>>()
   readonly #network: EmulatedNetwork
-  readonly #clock: ManualClock
 
-  constructor (network: EmulatedNetwork, clock: ManualClock) {
+  constructor (network: EmulatedNetwork) {
     this.#network = network
-    this.#clock = clock
   }
 
   addServer (endpoint: string, server: OwnerServer): void {
@@ -53,7 +60,7 @@
   /** Emulates the end of a process: its streams close at their remote ends, and later connections are refused. */
   removeServer (endpoint: string): void {
     this.#servers.delete(endpoint)
-    for (const end of this.#streams.get(endpoint) ?? []) end.remoteEnd!.close('ECONNRESET')
+    for (const end of this.#streams.get(endpoint) ?? []) end.break()
     this.#streams.delete(endpoint)
   }
 
@@ -70,10 +77,10 @@
    */
   async open (from: string, to: string, timeoutMs: number, handler: PeerHandler): Promise<PeerOpenResult> {
     if (!this.#network.isOpen(from, to) || !this.#network.isOpen(to, from)) {
-      await new Promise<void>(resolve => { this.#clock.startTimer(timeoutMs, resolve) })
+      await this.#wait(from, timeoutMs)
       return { kind: 'unreachable', message: 'timeout' }
     }
-    await new Promise<void>(resolve => { this.#clock.startTimer(1, resolve) })
+    await this.#wait(from, connectDurationMs)
     const server = this.#servers.get(to)
     if (server === undefined) return { kind: 'refused', message: 'ECONNREFUSED' }
     const nearEnd = new StreamEnd(from, to, this.#network)
@@ -83,13 +90,20 @@
     nearEnd.handler = handler
     this.#trackStream(from, nearEnd)
     this.#trackStream(to, farEnd)
-    server.serve(farHandler => {
-      farEnd.handler = farHandler
-      return farEnd
+    // The kernel accepts the connection, even while the process is paused.
+    this.#network.receive(to, () => {
+      server.serve(farHandler => {
+        farEnd.handler = farHandler
+        return farEnd
+      })
     })
     return { kind: 'open', stream: nearEnd }
   }
 
+  async #wait (endpoint: string, ms: number): Promise<void> {
+    await new Promise<void>(resolve => { this.#network.getClock(endpoint).startTimer(ms, resolve) })
+  }
+
   #trackStream (endpoint: string, end: StreamEnd): void {
     const ends = this.#streams.get(endpoint) ?? new Set<StreamEnd>()
     ends.add(end)
--- /dev/null
+++ b/packages/emulator/src/emulated-process.ts
@@ -0,0 +1,131 @@
+import { Clock } from '@sesamereel/coordination'
+import { type RandomSource } from './random-source.js'
+
+/** Notified of what the peers and callers of a process can observe of it. */
+export interface ProcessObserver {
+  readonly onPaused: () => void
+  readonly onResumed: () => void
+  /** @param areConnectionsClosed - false when the connections only fall silent, as after a power loss */
+  readonly onEnded: (areConnectionsClosed: boolean) => void
+}
+
+interface Work {
+  readonly kind: 'timer' | 'message'
+  readonly run: () => void
+}
+
+/**
+ * Clock and event loop of one emulated process. While the process is paused or stalled, its due timers
+ * and incoming messages wait; afterwards the timers run first, as in Node.js. Its time always advances.
+ */
+export class EmulatedProcess extends Clock {
+  readonly #clock: Clock
+  readonly #random: RandomSource
+  readonly #observers = new Set<ProcessObserver>()
+  #waitingWork: Work[] = []
+  #isDrainScheduled = false
+  #pauseCount = 0
+  #maxStallMs = 0
+  #stalledUntil = 0
+  #hasEnded = false
+
+  constructor (clock: Clock, random: RandomSource) {
+    super()
+    this.#clock = clock
+    this.#random = random
+  }
+
+  get hasEnded (): boolean { return this.#hasEnded }
+
+  get isPaused (): boolean { return this.#pauseCount > 0 }
+
+  override now (): number {
+    return this.#clock.now()
+  }
+
+  override startTimer (delayMs: number, callback: () => void): () => void {
+    let isCancelled = false
+    const cancelTimer = this.#clock.startTimer(delayMs, () => {
+      this.#accept({ kind: 'timer', run: () => { if (!isCancelled) callback() } })
+    })
+    return () => {
+      isCancelled = true
+      cancelTimer()
+    }
+  }
+
+  /** Handles a message, after those that wait already. */
+  receive (callback: () => void): void {
+    this.#accept({ kind: 'message', run: callback })
+  }
+
+  /** Pauses the process. @returns a function that ends this pause and no other */
+  pause (): () => void {
+    this.#pauseCount++
+    if (this.#pauseCount === 1) for (const observer of [...this.#observers]) observer.onPaused()
+    let isOver = false
+    return () => {
+      if (isOver) return
+      isOver = true
+      this.#resume()
+    }
+  }
+
+  /**
+   * Makes the process stall again and again, as one that is short of processor time.
+   *
+   * @param maxStallMs - length of the longest stall in milliseconds; 0 ends the slowness
+   */
+  setSlowness (maxStallMs: number): void {
+    this.#maxStallMs = maxStallMs
+  }
+
+  /** Ends the process: it runs nothing more. */
+  end (areConnectionsClosed: boolean): void {
+    this.#hasEnded = true
+    this.#waitingWork = []
+    for (const observer of [...this.#observers]) observer.onEnded(areConnectionsClosed)
+  }
+
+  addObserver (observer: ProcessObserver): void {
+    this.#observers.add(observer)
+  }
+
+  #resume (): void {
+    this.#pauseCount--
+    if (this.isPaused || this.#hasEnded) return
+    for (const observer of [...this.#observers]) observer.onResumed()
+    this.#scheduleDrain()
+  }
+
+  #accept (work: Work): void {
+    if (this.#hasEnded) return
+    const isIdle = this.#waitingWork.length === 0 && !this.isPaused && this.now() >= this.#stalledUntil
+    if (isIdle && this.#maxStallMs > 0) this.#stalledUntil = this.now() + this.#random.pickInteger(0, this.#maxStallMs)
+    if (isIdle && this.now() >= this.#stalledUntil) {
+      work.run()
+      return
+    }
+    this.#waitingWork.push(work)
+    this.#scheduleDrain()
+  }
+
+  #scheduleDrain (): void {
+    if (this.#isDrainScheduled || this.isPaused || this.#waitingWork.length === 0) return
+    this.#isDrainScheduled = true
+    this.#clock.startTimer(Math.max(0, this.#stalledUntil - this.now()), () => {
+      this.#isDrainScheduled = false
+      this.#runNext()
+    })
+  }
+
+  /** Runs one piece of work; the pending microtasks run before the next one. */
+  #runNext (): void {
+    if (this.isPaused || this.#hasEnded) return
+    const next = this.#waitingWork.find(work => work.kind === 'timer') ?? this.#waitingWork[0]
+    if (next === undefined) return
+    this.#waitingWork = this.#waitingWork.filter(work => work !== next)
+    next.run()
+    this.#scheduleDrain()
+  }
+}
--- a/packages/emulator/src/emulated-store.ts
+++ b/packages/emulator/src/emulated-store.ts
@@ -84,7 +84,7 @@
    */
   async call<T> (endpoint: string, timeoutMs: number, isWrite: boolean, serve: (reply: (value: T) => void) => void): Promise<T | 'refused' | undefined> {
     if (this.fault === 'down') {
-      await new Promise<void>(resolve => { this.#clock.startTimer(1, resolve) })
+      await new Promise<void>(resolve => { this.#network.getClock(endpoint).startTimer(1, resolve) })
       return 'refused'
     }
     return await this.#network.call<T>(endpoint, storeEndpoint, timeoutMs, reply => {
--- a/packages/emulator/src/instance-faults.ts
+++ b/packages/emulator/src/instance-faults.ts
@@ -2,10 +2,14 @@
 import { pickInstance } from './fault-choice.js'
 
 /** Faults of the instances themselves. */
-export const instanceFaultNames = ['kill', 'stop'] as const
+export const instanceFaultNames = ['kill', 'stop', 'pause', 'slow-instance'] as const
 
 export type InstanceFaultName = (typeof instanceFaultNames)[number]
 
+/** Range in milliseconds of the longest stall of a slow instance. */
+const minStallMs = 50
+const maxStallMs = 300
+
 /** Causes faults of randomly picked instances. */
 export class InstanceFaults {
   readonly #fleet: EmulatedFleet
@@ -21,6 +25,8 @@
     switch (name) {
       case 'kill': return this.#killInstance(instance)
       case 'stop': return this.#stopInstance(instance)
+      case 'pause': return this.#fleet.instances.get(instance)!.process.pause()
+      case 'slow-instance': return this.#slowInstance(instance)
     }
   }
 
@@ -32,15 +38,21 @@
 
   #stopInstance (instance: string): () => void {
     const parts = this.#fleet.instances.get(instance)!
-    parts.election.leave().catch(() => {})
+    parts.process.receive(() => { parts.election.leave().catch(() => {}) })
     return () => {
       if (this.#fleet.instances.get(instance) !== parts) return
-      parts.owner.endAllJobs('the instance stops')
+      if (!parts.process.isPaused) parts.owner.endAllJobs('the instance stops')
       this.#fleet.killInstance(instance)
       this.#fleet.startInstance(instance, parts.entry.domain)
     }
   }
 
+  #slowInstance (instance: string): () => void {
+    const { process } = this.#fleet.instances.get(instance)!
+    process.setSlowness(this.#fleet.random.pickInteger(minStallMs, maxStallMs))
+    return () => { process.setSlowness(0) }
+  }
+
   /** Starts an instance unless another fault's end has done so. */
   #startInstance (instance: string, domain: string): void {
     if (!this.#fleet.instances.has(instance)) this.#fleet.startInstance(instance, domain)
