--- a/packages/emulator/src/random-fault-scenario.ts
+++ b/packages/emulator/src/random-fault-scenario.ts
@@ -1,6 +1,7 @@
 import { type EmulatedFleet, emulatedTargetTable } from './emulated-fleet.js'
 import { FaultSchedule } from './fault-schedule.js'
 import { DependencyFaults, dependencyFaultNames } from './dependency-faults.js'
+import { joinTarget } from './joining-target.js'
 import { InstanceFaults, instanceFaultNames } from './instance-faults.js'
 import { NetworkFaults, networkFaultNames } from './network-faults.js'
 
@@ -13,7 +14,7 @@
 /** Time in milliseconds after the end of all faults in which the fleet must recover and all jobs must end. */
 const recoveryPeriodMs = 12_000
 
-const faultNames = [...instanceFaultNames, ...networkFaultNames, ...dependencyFaultNames] as const
+const faultNames = [...instanceFaultNames, ...networkFaultNames, ...dependencyFaultNames, 'join'] as const
 
 type FaultName = (typeof faultNames)[number]
 
@@ -103,6 +104,7 @@
   /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
   #inject (name: FaultName): (() => void) | undefined {
     if (isFault(instanceFaultNames, name)) return this.#instanceFaults.inject(name)
+    if (name === 'join') return joinTarget(this.#fleet)
     if (isFault(networkFaultNames, name)) return this.#networkFaults.inject(name)
     return this.#dependencyFaults.inject(name)
   }
