--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -85,14 +85,21 @@
     this.instances.set(instance, this.#createInstance(entry))
   }
 
-  /** Ends an instance at once, without a handover. */
+  /** Ends an instance at once, without a handover; its connections close at their remote ends. */
   killInstance (instance: string): void {
-    const parts = this.instances.get(instance)
-    if (parts === undefined) return
     this.#peers.removeServer(instance)
-    this.instances.delete(instance)
-    parts.process.end(true)
-    parts.stop()
+    this.#endInstance(instance, true)
+  }
+
+  /** Ends an instance as a power loss does: its connections only fall silent. */
+  powerOffInstance (instance: string): void {
+    this.#peers.powerOff(instance)
+    this.#endInstance(instance, false)
+  }
+
+  /** Resets the connections between an instance, which goes on, and the others. */
+  resetStreams (instance: string): void {
+    this.#peers.resetStreams(instance)
   }
 
   /** @returns the instance whose dispatcher of a domain has the highest token, or undefined when there is none */
@@ -147,6 +154,14 @@
     return { jobId, answer, abandon: () => { parts.process.receive(() => { abandon() }) } }
   }
 
+  #endInstance (instance: string, areConnectionsClosed: boolean): void {
+    const parts = this.instances.get(instance)
+    if (parts === undefined) return
+    this.instances.delete(instance)
+    parts.process.end(areConnectionsClosed)
+    parts.stop()
+  }
+
   #createJobId (): string {
     this.#jobCount++
     return this.#jobCount.toString(16).padStart(16, '0')
--- a/packages/emulator/src/emulated-network.ts
+++ b/packages/emulator/src/emulated-network.ts
@@ -4,11 +4,18 @@
 /** One-way latency in milliseconds between two endpoints. */
 const latencyMs = 0.5
 
+/** What a cut does to attempts to open a stream: `drops` lets them time out, `refuses` answers them at once. */
+export type CutKind = 'drops' | 'refuses'
+
+interface Cut {
+  readonly kind: CutKind
+}
+
 /** Delivers calls and messages between named endpoints, and drops them in directions that are cut. */
 export class EmulatedNetwork {
   readonly #clock: Clock
   /** The cuts in force, by direction as `from>to`; a direction may be cut several times over. */
-  readonly #cuts = new Map<string, Set<symbol>>()
+  readonly #cuts = new Map<string, Set<Cut>>()
   readonly #processes = new Map<string, EmulatedProcess>()
 
   constructor (clock: Clock) {
@@ -28,12 +35,13 @@
   /**
    * Cuts one direction; messages in transit that arrive during the cut are dropped too.
    *
+   * @param kind - what happens to attempts to open a stream
    * @returns a function that ends this cut and leaves others of the same direction in force
    */
-  cut (from: string, to: string): () => void {
+  cut (from: string, to: string, kind: CutKind = 'drops'): () => void {
     const direction = `${from}>${to}`
     const cuts = this.#cuts.get(direction) ?? new Set()
-    const cut = Symbol(direction)
+    const cut: Cut = { kind }
     this.#cuts.set(direction, cuts.add(cut))
     return () => { cuts.delete(cut) }
   }
@@ -43,8 +51,8 @@
    *
    * @returns a function that ends these cuts and no others
    */
-  partition (first: readonly string[], second: readonly string[]): () => void {
-    const ends = first.flatMap(a => second.flatMap(b => [this.cut(a, b), this.cut(b, a)]))
+  partition (first: readonly string[], second: readonly string[], kind: CutKind = 'drops'): () => void {
+    const ends = first.flatMap(a => second.flatMap(b => [this.cut(a, b, kind), this.cut(b, a, kind)]))
     return () => { for (const end of ends) end() }
   }
 
@@ -58,6 +66,12 @@
     return (this.#cuts.get(`${from}>${to}`)?.size ?? 0) === 0
   }
 
+  /** @returns whether a stream in this direction is refused at once; a cut that drops messages hides one that refuses */
+  isRefusing (from: string, to: string): boolean {
+    const cuts = [...this.#cuts.get(`${from}>${to}`) ?? []]
+    return cuts.length > 0 && cuts.every(cut => cut.kind === 'refuses')
+  }
+
   /**
    * Runs a callback at the receiver after the latency, unless the direction is cut when the message is
    * sent or when it arrives. A process that has ended sends nothing.
--- a/packages/emulator/src/emulated-peer-network.ts
+++ b/packages/emulator/src/emulated-peer-network.ts
@@ -4,6 +4,8 @@
 /** Time in milliseconds in which a connection is opened or refused. */
 const connectDurationMs = 1
 
+const refused = { kind: 'refused', message: 'ECONNREFUSED' } as const
+
 /** One end of a stream between two instances; messages that are not dropped arrive in order. */
 class StreamEnd implements PeerStream {
   remoteEnd: StreamEnd | undefined
@@ -31,6 +33,16 @@
     this.#network.deliver(this.#from, this.#to, () => { this.remoteEnd!.close('closed by the peer') })
   }
 
+  /** @returns both ends of the stream with the endpoints that hold them */
+  listEnds (): ReadonlyArray<{ readonly endpoint: string, readonly end: StreamEnd }> {
+    return [{ endpoint: this.#from, end: this }, { endpoint: this.#to, end: this.remoteEnd! }]
+  }
+
+  /** Emulates a power loss at this end: nothing more is sent. */
+  vanish (): void {
+    this.#isOpen = false
+  }
+
   /** Emulates the end of the process at this end: nothing more is sent but the reset of the connection. */
   break (): void {
     if (!this.#isOpen) return
@@ -47,6 +59,7 @@
 export class EmulatedPeerNetwork {
   readonly #servers = new Map<string, OwnerServer>()
   readonly #streams = new Map<string, Set<StreamEnd>>()
+  readonly #poweredOff = new Set<string>()
   readonly #network: EmulatedNetwork
 
   constructor (network: EmulatedNetwork) {
@@ -55,13 +68,27 @@
 
   addServer (endpoint: string, server: OwnerServer): void {
     this.#servers.set(endpoint, server)
+    this.#poweredOff.delete(endpoint)
   }
 
   /** Emulates the end of a process: its streams close at their remote ends, and later connections are refused. */
   removeServer (endpoint: string): void {
     this.#servers.delete(endpoint)
-    for (const end of this.#streams.get(endpoint) ?? []) end.break()
-    this.#streams.delete(endpoint)
+    for (const end of this.#takeStreams(endpoint)) end.break()
+  }
+
+  /** Emulates a power loss: streams fall silent, and later connections time out until a server is added again. */
+  powerOff (endpoint: string): void {
+    this.#servers.delete(endpoint)
+    this.#poweredOff.add(endpoint)
+    for (const end of this.#takeStreams(endpoint)) end.vanish()
+  }
+
+  /** Resets the streams of an endpoint whose process lives; both ends notice it. */
+  resetStreams (endpoint: string): void {
+    for (const end of this.#takeStreams(endpoint)) {
+      for (const { endpoint: owner, end: side } of end.listEnds()) this.#network.receive(owner, () => { side.close('ECONNRESET') })
+    }
   }
 
   /** @returns the connector of one instance */
@@ -73,16 +100,18 @@
    * Opens a stream between two instances.
    *
    * @param handler - gets the messages at the near end
-   * @returns the near end; `unreachable` after the timeout when a direction is cut, `refused` when no server listens
+   * @returns the near end; `unreachable` after the timeout when a direction is cut or the host is without
+   * power, `refused` when no server listens or a cut refuses streams
    */
   async open (from: string, to: string, timeoutMs: number, handler: PeerHandler): Promise<PeerOpenResult> {
-    if (!this.#network.isOpen(from, to) || !this.#network.isOpen(to, from)) {
+    if (this.#network.isRefusing(from, to)) return await this.#refuse(from)
+    if (this.#poweredOff.has(to) || !this.#network.isOpen(from, to) || !this.#network.isOpen(to, from)) {
       await this.#wait(from, timeoutMs)
       return { kind: 'unreachable', message: 'timeout' }
     }
     await this.#wait(from, connectDurationMs)
     const server = this.#servers.get(to)
-    if (server === undefined) return { kind: 'refused', message: 'ECONNREFUSED' }
+    if (server === undefined) return refused
     const nearEnd = new StreamEnd(from, to, this.#network)
     const farEnd = new StreamEnd(to, from, this.#network)
     nearEnd.remoteEnd = farEnd
@@ -100,10 +129,21 @@
     return { kind: 'open', stream: nearEnd }
   }
 
+  async #refuse (endpoint: string): Promise<PeerOpenResult> {
+    await this.#wait(endpoint, connectDurationMs)
+    return refused
+  }
+
   async #wait (endpoint: string, ms: number): Promise<void> {
     await new Promise<void>(resolve => { this.#network.getClock(endpoint).startTimer(ms, resolve) })
   }
 
+  #takeStreams (endpoint: string): readonly StreamEnd[] {
+    const ends = [...this.#streams.get(endpoint) ?? []]
+    this.#streams.delete(endpoint)
+    return ends
+  }
+
   #trackStream (endpoint: string, end: StreamEnd): void {
     const ends = this.#streams.get(endpoint) ?? new Set<StreamEnd>()
     ends.add(end)
--- a/packages/emulator/src/instance-faults.ts
+++ b/packages/emulator/src/instance-faults.ts
@@ -1,11 +1,15 @@
 import { type EmulatedFleet } from './emulated-fleet.js'
-import { pickInstance } from './fault-choice.js'
+import { pickDomain, pickInstance } from './fault-choice.js'
 
 /** Faults of the instances themselves. */
-export const instanceFaultNames = ['kill', 'stop', 'pause', 'slow-instance'] as const
+export const instanceFaultNames = ['kill', 'power-loss', 'outage', 'outage-domain', 'stop', 'pause', 'slow-instance'] as const
 
 export type InstanceFaultName = (typeof instanceFaultNames)[number]
 
+/** Range in milliseconds of the time after which an instance starts again in an outage of many. */
+const minOutageMs = 300
+const maxOutageMs = 1_200
+
 /** Range in milliseconds of the longest stall of a slow instance. */
 const minStallMs = 50
 const maxStallMs = 300
@@ -24,6 +28,9 @@
     if (instance === undefined) return undefined
     switch (name) {
       case 'kill': return this.#killInstance(instance)
+      case 'power-loss': return this.#powerOffInstance(instance)
+      case 'outage': return this.#endInstances([...this.#fleet.instances.keys()])
+      case 'outage-domain': return this.#endInstances(this.#fleet.listInstances(pickDomain(this.#fleet)))
       case 'stop': return this.#stopInstance(instance)
       case 'pause': return this.#fleet.instances.get(instance)!.process.pause()
       case 'slow-instance': return this.#slowInstance(instance)
@@ -36,6 +43,20 @@
     return () => { this.#startInstance(instance, domain) }
   }
 
+  #powerOffInstance (instance: string): () => void {
+    const { domain } = this.#fleet.instances.get(instance)!.entry
+    this.#fleet.powerOffInstance(instance)
+    return () => { this.#startInstance(instance, domain) }
+  }
+
+  /** Ends instances at once; each starts again by itself, so that the fault has no duration. */
+  #endInstances (instances: readonly string[]): undefined {
+    for (const instance of instances) {
+      const start = this.#killInstance(instance)
+      this.#fleet.clock.startTimer(this.#fleet.random.pickInteger(minOutageMs, maxOutageMs), start)
+    }
+  }
+
   #stopInstance (instance: string): () => void {
     const parts = this.#fleet.instances.get(instance)!
     parts.process.receive(() => { parts.election.leave().catch(() => {}) })
--- a/packages/emulator/test/emulated-network.test.ts
+++ b/packages/emulator/test/emulated-network.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { ManualClock } from '@sesamereel/coordination'
-import { EmulatedNetwork } from '../src/index.js'
+import { ConfigurationRelay, OwnerServer } from '@sesamereel/fleet'
+import { EmulatedNetwork, EmulatedPeerNetwork } from '../src/index.js'
 
 describe('the emulated network', () => {
   it('keeps a direction cut until every cut of it has ended, so that one fault does not end another', () => {
@@ -26,4 +27,41 @@
     end()
     assert.equal(network.isOpen('x', 'y'), false)
   })
+
+  it('refuses streams only while no cut drops them', () => {
+    const network = new EmulatedNetwork(new ManualClock())
+    const endRefusal = network.partition(['x'], ['y'], 'refuses')
+    assert.equal(network.isOpen('y', 'x'), false)
+    assert.equal(network.isRefusing('y', 'x'), true)
+    const endDrops = network.cut('y', 'x')
+    assert.equal(network.isRefusing('y', 'x'), false)
+    endDrops()
+    endRefusal()
+    assert.equal(network.isRefusing('y', 'x'), false)
+    assert.equal(network.isOpen('y', 'x'), true)
+  })
+})
+
+describe('the streams between emulated instances', () => {
+  async function listCloses (disturb: (network: EmulatedPeerNetwork) => void): Promise<readonly string[]> {
+    const clock = new ManualClock()
+    const network = new EmulatedNetwork(clock)
+    const peers = new EmulatedPeerNetwork(network)
+    peers.addServer('y', new OwnerServer('y@0', clock, new ConfigurationRelay(() => true)))
+    const closes: string[] = []
+    const opened = peers.open('x', 'y', 100, { onMessage: () => {}, onClose: reason => closes.push(reason) })
+    await clock.advance(10)
+    assert.equal((await opened).kind, 'open')
+    disturb(peers)
+    await clock.advance(10)
+    const again = peers.open('x', 'y', 100, { onMessage: () => {}, onClose: () => {} })
+    await clock.advance(200)
+    return [...closes, (await again).kind]
+  }
+
+  it('close when the process ends or the stream is reset, and only fall silent after a power loss', async () => {
+    assert.deepEqual(await listCloses(peers => { peers.removeServer('y') }), ['ECONNRESET', 'refused'])
+    assert.deepEqual(await listCloses(peers => { peers.resetStreams('y') }), ['ECONNRESET', 'open'])
+    assert.deepEqual(await listCloses(peers => { peers.powerOff('y') }), ['unreachable'])
+  })
 })
