--- a/packages/emulator/src/network-faults.ts
+++ b/packages/emulator/src/network-faults.ts
@@ -3,7 +3,7 @@
 import { pickDomain, pickInstance, pickTarget } from './fault-choice.js'
 
 /** Faults of the network between instances, targets and store. */
-export const networkFaultNames = ['cut-domain', 'cut-instance', 'cut-targets', 'one-way'] as const
+export const networkFaultNames = ['cut-domain', 'cut-instance', 'cut-targets', 'one-way', 'refuse', 'reset-streams', 'store-cut'] as const
 
 export type NetworkFaultName = (typeof networkFaultNames)[number]
 
@@ -15,13 +15,16 @@
     this.#fleet = fleet
   }
 
-  /** @returns a function that ends the fault, or undefined when it could not be injected */
+  /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
   inject (name: NetworkFaultName): (() => void) | undefined {
     switch (name) {
       case 'cut-domain': return this.#cutDomain()
       case 'cut-instance': return this.#cutInstance()
       case 'cut-targets': return this.#cutTarget(true)
       case 'one-way': return this.#cutTarget(false)
+      case 'refuse': return this.#refuseStreams()
+      case 'reset-streams': return this.#resetStreams()
+      case 'store-cut': return this.#cutStore()
     }
   }
 
@@ -50,4 +53,23 @@
     const ends = [...instances.keys()].map(instance => network.cut(id, instance))
     return () => { for (const end of ends) end() }
   }
+
+  /** Separates an instance from the others by a partition that refuses streams; both sides still reach targets and store. */
+  #refuseStreams (): (() => void) | undefined {
+    const { network, instances } = this.#fleet
+    const instance = pickInstance(this.#fleet)
+    if (instance === undefined) return undefined
+    return network.partition([instance], [...instances.keys()].filter(other => other !== instance), 'refuses')
+  }
+
+  #resetStreams (): undefined {
+    const instance = pickInstance(this.#fleet)
+    if (instance !== undefined) this.#fleet.resetStreams(instance)
+  }
+
+  /** Cuts off some of the instances from the store. */
+  #cutStore (): () => void {
+    const { network, instances, random } = this.#fleet
+    return network.partition([...instances.keys()].filter(() => random.drawBoolean(0.4)), [storeEndpoint])
+  }
 }
