--- a/packages/emulator/src/instance-faults.ts
+++ b/packages/emulator/src/instance-faults.ts
@@ -1,8 +1,9 @@
 import { type EmulatedFleet } from './emulated-fleet.js'
 import { pickDomain, pickInstance } from './fault-choice.js'
+import { TakeoverSeries } from './takeover-series.js'
 
 /** Faults of the instances themselves. */
-export const instanceFaultNames = ['kill', 'power-loss', 'outage', 'outage-domain', 'stop', 'pause', 'slow-instance'] as const
+export const instanceFaultNames = ['kill', 'power-loss', 'outage', 'outage-domain', 'stop', 'pause', 'slow-instance', 'takeover-series'] as const
 
 export type InstanceFaultName = (typeof instanceFaultNames)[number]
 
@@ -24,6 +25,7 @@
 
   /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
   inject (name: InstanceFaultName): (() => void) | undefined {
+    if (name === 'takeover-series') return new TakeoverSeries(this.#fleet).start()
     const instance = pickInstance(this.#fleet)
     if (instance === undefined) return undefined
     switch (name) {
