Let emulated callers send a job again up to twice

A caller polled its instance each 100 ms and sent its job again once. It now hears of the end or the pause of its instance, gives up after its patience, and sends again 1,300 ms later, up to twice, through any live instance.

--- a/packages/emulator/src/emulated-process.ts
+++ b/packages/emulator/src/emulated-process.ts
@@ -87,8 +87,10 @@
     for (const observer of [...this.#observers]) observer.onEnded(areConnectionsClosed)
   }
 
-  addObserver (observer: ProcessObserver): void {
+  /** @returns a function that removes the observer */
+  addObserver (observer: ProcessObserver): () => void {
     this.#observers.add(observer)
+    return () => { this.#observers.delete(observer) }
   }
 
   #resume (): void {
--- a/packages/emulator/src/fault-schedule.ts
+++ b/packages/emulator/src/fault-schedule.ts
@@ -34,9 +34,6 @@
     this.#nextAt = now + minPauseMs
   }
 
-  /** @returns the time in milliseconds by which the next fault will have ended, if it starts as soon as it is due */
-  get latestNextFaultEnd (): number { return this.#nextAt + maxFaultMs }
-
   /** Ends the faults that are due, and starts the next one when it is due. */
   update (now: number): void {
     this.endExpiredFaults(now)
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -1,3 +1,4 @@
+export * from './emulated-caller.js'
 export * from './emulated-connector.js'
 export * from './emulated-fleet.js'
 export * from './emulated-network.js'
--- a/packages/emulator/src/random-fault-scenario.ts
+++ b/packages/emulator/src/random-fault-scenario.ts
@@ -2,15 +2,13 @@
 import { FaultSchedule } from './fault-schedule.js'
 import { DependencyFaults, dependencyFaultNames } from './dependency-faults.js'
 import { joinTarget } from './joining-target.js'
+import { EmulatedCaller } from './emulated-caller.js'
 import { InstanceFaults, instanceFaultNames } from './instance-faults.js'
 import { NetworkFaults, networkFaultNames } from './network-faults.js'
 
 /** Interval in milliseconds at which jobs are submitted. */
 const submitIntervalMs = 40
 
-/** Time in milliseconds that a caller waits after an unknown answer before it submits its job again. */
-const resubmitDelayMs = 1_300
-
 /** Time in milliseconds after the end of all faults in which the fleet must recover and all jobs must end. */
 const recoveryPeriodMs = 12_000
 
@@ -73,32 +71,9 @@
     const { random, instances } = this.#fleet
     const instance = random.pick([...instances.keys()])
     if (instance === undefined) return
-    const tasks = random.pickInteger(1, 4)
-    const workMs = random.pickInteger(40, 700)
-    const job = this.#fleet.submit(instance, tasks, workMs)
-    if (random.drawBoolean(0.05)) this.#fleet.clock.startTimer(random.pickInteger(20, 500), () => { job.abandon() })
-    else this.#resubmitIfUnanswered(job.jobId, instance, tasks, workMs, job.answer)
-  }
-
-  /** Submits a job once more, through any instance, when its answer is unknown or its instance has ended. */
-  #resubmitIfUnanswered (jobId: string, instance: string, tasks: number, workMs: number, answer: Promise<{ readonly kind: string }>): void {
-    const { clock, instances, random } = this.#fleet
-    const parts = instances.get(instance)
-    let hasResubmitted = false
-    const resubmit = (): void => {
-      if (hasResubmitted) return
-      hasResubmitted = true
-      clock.startTimer(resubmitDelayMs, () => {
-        const other = random.pick([...instances.keys()])
-        if (other !== undefined) this.#fleet.submit(other, tasks, workMs, jobId)
-      })
-    }
-    answer.then(result => { if (result.kind === 'unknown' && instances.get(instance) === parts) resubmit() }).catch(() => {})
-    const watch = (): void => {
-      if (instances.get(instance) !== parts) resubmit()
-      else if (clock.now() < this.#schedule.latestNextFaultEnd) clock.startTimer(100, watch)
-    }
-    clock.startTimer(100, watch)
+    const caller = new EmulatedCaller(this.#fleet, { tasks: random.pickInteger(1, 4), workMs: random.pickInteger(40, 700) })
+    const abandon = caller.send(instance)
+    if (random.drawBoolean(0.05)) this.#fleet.clock.startTimer(random.pickInteger(20, 500), abandon)
   }
 
   /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
