--- a/packages/emulator/src/random-fault-scenario.ts
+++ b/packages/emulator/src/random-fault-scenario.ts
@@ -12,9 +12,10 @@
 /** Time in milliseconds after the end of all faults in which the fleet must recover and all jobs must end. */
 const recoveryPeriodMs = 12_000
 
-const faultNames = [...instanceFaultNames, ...networkFaultNames, ...dependencyFaultNames, 'join'] as const
+/** Names of all faults that a random scenario can inject. */
+export const scenarioFaultNames = [...instanceFaultNames, ...networkFaultNames, ...dependencyFaultNames, 'join'] as const
 
-type FaultName = (typeof faultNames)[number]
+export type FaultName = (typeof scenarioFaultNames)[number]
 
 /** Outcome of a random fault scenario. */
 export interface ScenarioResult {
@@ -37,7 +38,8 @@
   readonly #dependencyFaults: DependencyFaults
   readonly #schedule: FaultSchedule<FaultName>
 
-  constructor (fleet: EmulatedFleet) {
+  /** @param faultNames - the faults to choose from */
+  constructor (fleet: EmulatedFleet, faultNames: readonly FaultName[] = scenarioFaultNames) {
     this.#fleet = fleet
     this.#instanceFaults = new InstanceFaults(fleet)
     this.#networkFaults = new NetworkFaults(fleet)
