--- a/packages/emulator/src/random-fault-scenario.ts
+++ b/packages/emulator/src/random-fault-scenario.ts
@@ -2,13 +2,16 @@
 import { FaultSchedule } from './fault-schedule.js'
 import { DependencyFaults, dependencyFaultNames } from './dependency-faults.js'
 import { joinTarget } from './joining-target.js'
-import { EmulatedCaller } from './emulated-caller.js'
+import { EmulatedCaller, type JobShape } from './emulated-caller.js'
 import { InstanceFaults, instanceFaultNames } from './instance-faults.js'
 import { NetworkFaults, networkFaultNames } from './network-faults.js'
 
 /** Interval in milliseconds at which jobs are submitted. */
 const submitIntervalMs = 40
 
+/** Probability that a job consists of one long task. */
+const longJobProbability = 0.1
+
 /** Time in milliseconds after the end of all faults in which the fleet must recover and all jobs must end. */
 const recoveryPeriodMs = 12_000
 
@@ -73,11 +76,18 @@
     const { random, instances } = this.#fleet
     const instance = random.pick([...instances.keys()])
     if (instance === undefined) return
-    const caller = new EmulatedCaller(this.#fleet, { tasks: random.pickInteger(1, 4), workMs: random.pickInteger(40, 700) })
+    const caller = new EmulatedCaller(this.#fleet, this.#pickShape())
     const abandon = caller.send(instance)
     if (random.drawBoolean(0.05)) this.#fleet.clock.startTimer(random.pickInteger(20, 500), abandon)
   }
 
+  /** Picks the size of a job; a few run so long that a repeat may meet their first run. */
+  #pickShape (): JobShape {
+    const { random } = this.#fleet
+    if (random.drawBoolean(longJobProbability)) return { tasks: 1, workMs: random.pickInteger(1_000, 4_000) }
+    return { tasks: random.pickInteger(1, 4), workMs: random.pickInteger(40, 700) }
+  }
+
   /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
   #inject (name: FaultName): (() => void) | undefined {
     if (isFault(instanceFaultNames, name)) return this.#instanceFaults.inject(name)
