--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -3,6 +3,7 @@
 import { EmulatedConnector, type LateOrders } from './emulated-connector.js'
 import { EmulatedNetwork } from './emulated-network.js'
 import { EmulatedPeerNetwork } from './emulated-peer-network.js'
+import { EmulatedProcess } from './emulated-process.js'
 import { EmulatedStore } from './emulated-store.js'
 import { EmulatedTarget } from './emulated-target.js'
 import { emulatedMaxAttempts, FleetHistory } from './fleet-history.js'
@@ -43,6 +44,7 @@
 /** One process of the emulated fleet, with the parts of the product that it runs. */
 export interface EmulatedInstance {
   readonly entry: InstanceEntry
+  readonly process: EmulatedProcess
   readonly owner: JobOwner
   readonly election: DispatcherElection
   readonly server: OwnerServer
@@ -59,7 +61,7 @@
   readonly lateOrders: LateOrders = { probability: 0 }
   readonly targets = new Map<string, EmulatedTarget>()
   readonly instances = new Map<string, EmulatedInstance>()
-  readonly #peers = new EmulatedPeerNetwork(this.network, this.clock)
+  readonly #peers = new EmulatedPeerNetwork(this.network)
   readonly #options: EmulatedFleetOptions
   #jobCount = 0
 
@@ -83,11 +85,21 @@
     this.instances.set(instance, this.#createInstance(entry))
   }
 
-  /** Ends an instance at once, without a handover. */
+  /** Ends an instance at once, without a handover; its connections close at their remote ends. */
   killInstance (instance: string): void {
-    this.instances.get(instance)?.stop()
-    this.instances.delete(instance)
     this.#peers.removeServer(instance)
+    this.#endInstance(instance, true)
+  }
+
+  /** Ends an instance as a power loss does: its connections only fall silent. */
+  powerOffInstance (instance: string): void {
+    this.#peers.powerOff(instance)
+    this.#endInstance(instance, false)
+  }
+
+  /** Resets the connections between an instance, which goes on, and the others. */
+  resetStreams (instance: string): void {
+    this.#peers.resetStreams(instance)
   }
 
   /** @returns the instance whose dispatcher of a domain has the highest token, or undefined when there is none */
@@ -100,6 +112,11 @@
     return latest?.instance
   }
 
+  /** @returns the names of the live instances of a domain */
+  listInstances (domain: string): readonly string[] {
+    return [...this.instances.values()].filter(parts => parts.entry.domain === domain).map(parts => parts.entry.instance)
+  }
+
   /** @returns the targets of a domain */
   listTargets (domain: string): readonly EmulatedTarget[] {
     return [...this.targets.values()].filter(target => target.info.domain === domain)
@@ -130,13 +147,27 @@
     const parts = this.instances.get(instance)!
     const spec = createJob(jobId, tasks, workMs)
     this.history.recordSubmission(jobId)
-    const handle = parts.owner.submit(spec, 8_000)
-    const answer = handle.answer.then(result => {
-      // An instance that has ended answers no callers.
-      if (this.instances.get(instance) === parts) this.history.recordAnswer(jobId, result)
-      return result
+    let abandon = (): void => {}
+    const answer = new Promise<JobAnswer>(resolve => {
+      parts.process.receive(() => {
+        const handle = parts.owner.submit(spec, 8_000)
+        abandon = () => { handle.abandon('the caller has left') }
+        handle.answer.then(result => {
+          // An instance that has ended answers no callers.
+          if (this.instances.get(instance) === parts) this.history.recordAnswer(jobId, result)
+          resolve(result)
+        }).catch(() => {})
+      })
     })
-    return { jobId, answer, abandon: () => { handle.abandon('the caller has left') } }
+    return { jobId, answer, abandon: () => { parts.process.receive(() => { abandon() }) } }
+  }
+
+  #endInstance (instance: string, areConnectionsClosed: boolean): void {
+    const parts = this.instances.get(instance)
+    if (parts === undefined) return
+    this.instances.delete(instance)
+    parts.process.end(areConnectionsClosed)
+    parts.stop()
   }
 
   #createJobId (): string {
@@ -149,7 +180,9 @@
   }
 
   #createInstance (self: InstanceEntry): EmulatedInstance {
-    const { clock, network } = this
+    const { network } = this
+    const clock = new EmulatedProcess(this.clock, this.random)
+    network.attachProcess(self.instance, clock)
     const log = new NoopLog()
     const metrics = new NoopMetrics()
     const limits = defaultFleetLimits
@@ -175,7 +208,7 @@
         token,
         clock,
         limits,
-        connector: new EmulatedConnector(self.instance, this.targets, network, clock, this.random, this.lateOrders),
+        connector: new EmulatedConnector(self.instance, this.targets, network, this.clock, this.random, this.lateOrders),
         log,
         metrics,
         remoteFactor: 1,
@@ -203,7 +236,7 @@
       directory.close()
       targets.close()
     }
-    return { entry: self, owner, election, server, stop }
+    return { entry: self, process: clock, owner, election, server, stop }
   }
 }
 
--- /dev/null
+++ b/packages/emulator/src/instance-faults.ts
@@ -0,0 +1,83 @@
+import { type EmulatedFleet } from './emulated-fleet.js'
+import { pickDomain, pickInstance } from './fault-choice.js'
+import { TakeoverSeries } from './takeover-series.js'
+
+/** Faults of the instances themselves. */
+export const instanceFaultNames = ['kill', 'power-loss', 'outage', 'outage-domain', 'stop', 'pause', 'slow-instance', 'takeover-series'] as const
+
+export type InstanceFaultName = (typeof instanceFaultNames)[number]
+
+/** Range in milliseconds of the time after which an instance starts again in an outage of many. */
+const minOutageMs = 300
+const maxOutageMs = 1_200
+
+/** Range in milliseconds of the longest stall of a slow instance. */
+const minStallMs = 50
+const maxStallMs = 300
+
+/** Causes faults of randomly picked instances. */
+export class InstanceFaults {
+  readonly #fleet: EmulatedFleet
+
+  constructor (fleet: EmulatedFleet) {
+    this.#fleet = fleet
+  }
+
+  /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
+  inject (name: InstanceFaultName): (() => void) | undefined {
+    if (name === 'takeover-series') return new TakeoverSeries(this.#fleet).start()
+    const instance = pickInstance(this.#fleet)
+    if (instance === undefined) return undefined
+    switch (name) {
+      case 'kill': return this.#killInstance(instance)
+      case 'power-loss': return this.#powerOffInstance(instance)
+      case 'outage': return this.#endInstances([...this.#fleet.instances.keys()])
+      case 'outage-domain': return this.#endInstances(this.#fleet.listInstances(pickDomain(this.#fleet)))
+      case 'stop': return this.#stopInstance(instance)
+      case 'pause': return this.#fleet.instances.get(instance)!.process.pause()
+      case 'slow-instance': return this.#slowInstance(instance)
+    }
+  }
+
+  #killInstance (instance: string): () => void {
+    const { domain } = this.#fleet.instances.get(instance)!.entry
+    this.#fleet.killInstance(instance)
+    return () => { this.#startInstance(instance, domain) }
+  }
+
+  #powerOffInstance (instance: string): () => void {
+    const { domain } = this.#fleet.instances.get(instance)!.entry
+    this.#fleet.powerOffInstance(instance)
+    return () => { this.#startInstance(instance, domain) }
+  }
+
+  /** Ends instances at once; each starts again by itself, so that the fault has no duration. */
+  #endInstances (instances: readonly string[]): undefined {
+    for (const instance of instances) {
+      const start = this.#killInstance(instance)
+      this.#fleet.clock.startTimer(this.#fleet.random.pickInteger(minOutageMs, maxOutageMs), start)
+    }
+  }
+
+  #stopInstance (instance: string): () => void {
+    const parts = this.#fleet.instances.get(instance)!
+    parts.process.receive(() => { parts.election.leave().catch(() => {}) })
+    return () => {
+      if (this.#fleet.instances.get(instance) !== parts) return
+      if (!parts.process.isPaused) parts.owner.endAllJobs('the instance stops')
+      this.#fleet.killInstance(instance)
+      this.#fleet.startInstance(instance, parts.entry.domain)
+    }
+  }
+
+  #slowInstance (instance: string): () => void {
+    const { process } = this.#fleet.instances.get(instance)!
+    process.setSlowness(this.#fleet.random.pickInteger(minStallMs, maxStallMs))
+    return () => { process.setSlowness(0) }
+  }
+
+  /** Starts an instance unless another fault's end has done so. */
+  #startInstance (instance: string, domain: string): void {
+    if (!this.#fleet.instances.has(instance)) this.#fleet.startInstance(instance, domain)
+  }
+}
--- a/packages/emulator/src/random-fault-scenario.ts
+++ b/packages/emulator/src/random-fault-scenario.ts
@@ -1,19 +1,24 @@
 import { type EmulatedFleet, emulatedTargetTable } from './emulated-fleet.js'
 import { FaultSchedule } from './fault-schedule.js'
 import { DependencyFaults, dependencyFaultNames } from './dependency-faults.js'
+import { joinTarget } from './joining-target.js'
+import { EmulatedCaller, type JobShape } from './emulated-caller.js'
+import { InstanceFaults, instanceFaultNames } from './instance-faults.js'
+import { NetworkFaults, networkFaultNames } from './network-faults.js'
 
 /** Interval in milliseconds at which jobs are submitted. */
 const submitIntervalMs = 40
 
-/** Time in milliseconds that a caller waits after an unknown answer before it submits its job again. */
-const resubmitDelayMs = 1_300
+/** Probability that a job consists of one long task. */
+const longJobProbability = 0.1
 
 /** Time in milliseconds after the end of all faults in which the fleet must recover and all jobs must end. */
 const recoveryPeriodMs = 12_000
 
-const faultNames = ['kill', 'stop', 'cut-domain', 'cut-instance', 'cut-targets', 'one-way', ...dependencyFaultNames] as const
+/** Names of all faults that a random scenario can inject. */
+export const scenarioFaultNames = [...instanceFaultNames, ...networkFaultNames, ...dependencyFaultNames, 'join'] as const
 
-type FaultName = (typeof faultNames)[number]
+export type FaultName = (typeof scenarioFaultNames)[number]
 
 /** Outcome of a random fault scenario. */
 export interface ScenarioResult {
@@ -31,11 +36,16 @@
 /** Submits jobs to a fleet while random faults overlap and repeat; the fleet's seed determines all choices. */
 export class RandomFaultScenario {
   readonly #fleet: EmulatedFleet
+  readonly #instanceFaults: InstanceFaults
+  readonly #networkFaults: NetworkFaults
   readonly #dependencyFaults: DependencyFaults
   readonly #schedule: FaultSchedule<FaultName>
 
-  constructor (fleet: EmulatedFleet) {
+  /** @param faultNames - the faults to choose from */
+  constructor (fleet: EmulatedFleet, faultNames: readonly FaultName[] = scenarioFaultNames) {
     this.#fleet = fleet
+    this.#instanceFaults = new InstanceFaults(fleet)
+    this.#networkFaults = new NetworkFaults(fleet)
     const { store, targets, lateOrders, random } = fleet
     this.#dependencyFaults = new DependencyFaults({
       store, targets, lateOrders, random, writeTargetEntry: (target, draining) => { store.put(emulatedTargetTable, target.info.id, JSON.stringify({ ...target.info, draining })) }
@@ -66,104 +76,24 @@
     const { random, instances } = this.#fleet
     const instance = random.pick([...instances.keys()])
     if (instance === undefined) return
-    const tasks = random.pickInteger(1, 4)
-    const workMs = random.pickInteger(40, 700)
-    const job = this.#fleet.submit(instance, tasks, workMs)
-    if (random.drawBoolean(0.05)) this.#fleet.clock.startTimer(random.pickInteger(20, 500), () => { job.abandon() })
-    else this.#resubmitIfUnanswered(job.jobId, instance, tasks, workMs, job.answer)
+    const caller = new EmulatedCaller(this.#fleet, this.#pickShape())
+    const abandon = caller.send(instance)
+    if (random.drawBoolean(0.05)) this.#fleet.clock.startTimer(random.pickInteger(20, 500), abandon)
   }
 
-  /** Submits a job once more, through any instance, when its answer is unknown or its instance has ended. */
-  #resubmitIfUnanswered (jobId: string, instance: string, tasks: number, workMs: number, answer: Promise<{ readonly kind: string }>): void {
-    const { clock, instances, random } = this.#fleet
-    const parts = instances.get(instance)
-    let hasResubmitted = false
-    const resubmit = (): void => {
-      if (hasResubmitted) return
-      hasResubmitted = true
-      clock.startTimer(resubmitDelayMs, () => {
-        const other = random.pick([...instances.keys()])
-        if (other !== undefined) this.#fleet.submit(other, tasks, workMs, jobId)
-      })
-    }
-    answer.then(result => { if (result.kind === 'unknown' && instances.get(instance) === parts) resubmit() }).catch(() => {})
-    const watch = (): void => {
-      if (instances.get(instance) !== parts) resubmit()
-      else if (clock.now() < this.#schedule.latestNextFaultEnd) clock.startTimer(100, watch)
-    }
-    clock.startTimer(100, watch)
+  /** Picks the size of a job; a few run so long that a repeat may meet their first run. */
+  #pickShape (): JobShape {
+    const { random } = this.#fleet
+    if (random.drawBoolean(longJobProbability)) return { tasks: 1, workMs: random.pickInteger(1_000, 4_000) }
+    return { tasks: random.pickInteger(1, 4), workMs: random.pickInteger(40, 700) }
   }
 
   /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
   #inject (name: FaultName): (() => void) | undefined {
-    switch (name) {
-      case 'kill': return this.#killInstance()
-      case 'stop': return this.#stopInstance()
-      case 'cut-domain': return this.#cutDomain()
-      case 'cut-instance': return this.#cutInstance()
-      case 'cut-targets': return this.#cutTarget(true)
-      case 'one-way': return this.#cutTarget(false)
-      default: return this.#dependencyFaults.inject(name)
-    }
-  }
-
-  #pickInstance (): string | undefined {
-    const { random, instances } = this.#fleet
-    // Half of the faults hit an instance that runs a dispatcher, if there is one.
-    const dispatchingInstances = [...instances].filter(([, parts]) => parts.server.listDispatchers().length > 0).map(([name]) => name)
-    return random.drawBoolean(0.5) ? random.pick(dispatchingInstances) : random.pick([...instances.keys()])
-  }
-
-  #killInstance (): (() => void) | undefined {
-    const instance = this.#pickInstance()
-    if (instance === undefined) return undefined
-    const { domain } = this.#fleet.instances.get(instance)!.entry
-    this.#fleet.killInstance(instance)
-    return () => { if (!this.#fleet.instances.has(instance)) this.#fleet.startInstance(instance, domain) }
-  }
-
-  #stopInstance (): (() => void) | undefined {
-    const instance = this.#pickInstance()
-    if (instance === undefined) return undefined
-    const parts = this.#fleet.instances.get(instance)!
-    parts.election.leave().catch(() => {})
-    return () => {
-      if (this.#fleet.instances.get(instance) !== parts) return
-      parts.owner.endAllJobs('the instance stops')
-      this.#fleet.killInstance(instance)
-      this.#fleet.startInstance(instance, parts.entry.domain)
-    }
-  }
-
-  #listEndpoints (): readonly string[] {
-    return [...this.#fleet.instances.keys(), ...this.#fleet.targets.keys(), 'store']
-  }
-
-  /** Cuts off a group of endpoints from all others; the returned function removes every cut in the network. */
-  #isolate (inside: readonly string[]): () => void {
-    const members = new Set(inside)
-    this.#fleet.network.partition(inside, this.#listEndpoints().filter(endpoint => !members.has(endpoint)))
-    return () => { this.#fleet.network.heal() }
-  }
-
-  #cutDomain (): () => void {
-    const { domain } = this.#dependencyFaults.pickTarget().info
-    const instances = [...this.#fleet.instances.values()].filter(parts => parts.entry.domain === domain).map(parts => parts.entry.instance)
-    return this.#isolate([...instances, ...this.#fleet.listTargets(domain).map(target => target.info.id)])
-  }
-
-  #cutInstance (): (() => void) | undefined {
-    const instance = this.#pickInstance()
-    return instance === undefined ? undefined : this.#isolate([instance])
-  }
-
-  #cutTarget (bothWays: boolean): () => void {
-    const { id } = this.#dependencyFaults.pickTarget().info
-    for (const instance of this.#fleet.instances.keys()) {
-      this.#fleet.network.cut(id, instance)
-      if (bothWays) this.#fleet.network.cut(instance, id)
-    }
-    return () => { this.#fleet.network.heal() }
+    if (isFault(instanceFaultNames, name)) return this.#instanceFaults.inject(name)
+    if (name === 'join') return joinTarget(this.#fleet)
+    if (isFault(networkFaultNames, name)) return this.#networkFaults.inject(name)
+    return this.#dependencyFaults.inject(name)
   }
 
   /** Counts the runs that the dispatchers' sessions still hold. */
@@ -186,3 +116,7 @@
     return jobs.every(job => completed.has(job.jobId))
   }
 }
+
+function isFault<N extends string> (names: readonly N[], name: string): name is N {
+  return names.includes(name as N)
+}
