--- a/packages/emulator/src/emulated-target.ts
+++ b/packages/emulator/src/emulated-target.ts
@@ -78,6 +78,7 @@
     this.#ended = []
     this.#endCount = 0
     this.#highestToken = 0
+    this.#leaseUntil = 0
     this.#highestAttempt.clear()
   }
 
