Handle heartbeats without a scheduling round; log withheld leases less often

Since the lease chain each heartbeat went through the dispatcher's queue of messages, and each batch of messages ends with a scheduling round over all targets and queued jobs: 40 owners make 400 rounds a second. Heartbeats are now handled at once; the order with the messages of the same turn does not matter, as no lease is extended before these are handled. The line leases-withheld is no longer written for cancelled runs whose stop is under way.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -148,9 +148,11 @@
     this.#state.owners.remove(connection, this.#state.now())
   }
 
-  /** Queues one message of an owner to be handled. */
+  /** Queues one message of an owner to be handled. Heartbeats come often and change no queue, so they are handled at once. */
   enqueueMessage (connection: OwnerConnection, message: OwnerMessage): void {
-    if (!this.#stopped) this.#mailbox.post(() => { this.#handleMessage(connection, message) })
+    if (this.#stopped) return
+    if (message.type === 'ping') this.#handleHeartbeat(connection, message.heardSentAt)
+    else this.#mailbox.post(() => { this.#handleMessage(connection, message) })
   }
 
   /** @returns the load summary that is sent to the owners */
@@ -176,16 +178,22 @@
     return [...ids]
   }
 
-  #handleMessage (connection: OwnerConnection, message: OwnerMessage): void {
+  #handleHeartbeat (connection: OwnerConnection, heardSentAt: number | undefined): void {
+    const { owners } = this.#state
     // Owners of an earlier version don't send back what they have heard.
-    this.#state.owners.confirm(connection, message.type === 'ping' ? message.heardSentAt ?? this.#state.now() : undefined)
+    owners.confirm(connection, heardSentAt ?? this.#state.now())
+    if (heardSentAt !== undefined) owners.markAnswered(connection)
+  }
+
+  #handleMessage (connection: OwnerConnection, message: OwnerMessage): void {
+    this.#state.owners.confirm(connection)
     switch (message.type) {
       case 'submit': this.#intake.handleSubmission(connection, message, job => this.#findReleaseEvidence(job)); break
       case 'withdraw': this.#intake.withdraw(connection, message.jobId); break
       case 'cancel': this.#intake.cancel(connection, message.jobId, message.reason); break
       case 'cancel-any': this.#intake.cancelAny(connection, message.jobId); break
-      case 'ping': if (message.heardSentAt !== undefined) this.#state.owners.markAnswered(connection); break
-      // The owner server handles these.
+      // These are handled elsewhere.
+      case 'ping':
       case 'hello':
       case 'configuration':
     }
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -150,10 +150,13 @@
     const remainingMs = limitAt - this.#state.now()
     if (remainingMs >= withheldLeaseMs) {
       this.#withheld.delete(session)
-    } else if (!this.#withheld.has(session)) {
-      this.#withheld.add(session)
-      this.#state.log('belief', 'leases-withheld', { target: session.info.id, runs: session.runs.size, ...(Number.isFinite(remainingMs) ? { remainingMs: Math.round(remainingMs) } : { unclaimed: true }) })
+      return
     }
+    const unclaimed = [...session.runs.values()].some(run => this.#state.unclaimedRuns.has(run.task))
+    // The leases of a target are also withheld for the few milliseconds until it has accepted the stop of a cancelled run.
+    if (this.#withheld.has(session) || (!unclaimed && !Number.isFinite(remainingMs))) return
+    this.#withheld.add(session)
+    this.#state.log('belief', 'leases-withheld', { target: session.info.id, runs: session.runs.size, unclaimed, remainingMs: Number.isFinite(remainingMs) ? Math.round(remainingMs) : undefined })
   }
 
   #updateHealth (session: TargetSession, run: Run, how: EndKind): void {
--- a/packages/fleet/src/unclaimed-runs.ts
+++ b/packages/fleet/src/unclaimed-runs.ts
@@ -30,6 +30,10 @@
     return this.#done.delete(task)
   }
 
+  has (task: string): boolean {
+    return this.#running.has(task)
+  }
+
   remove (task: string): void {
     this.#running.delete(task)
   }
