Name the submission in every reply of a dispatcher, and ignore superseded connections

Cause: over a full link the owner reconnected and submitted the job again before the first submission had been answered. The dispatcher rejected the first submission as waited too long; the reply carried only the job's id, so the owner took it for the answer to the second submission, which was still on its way, and submitted the job to another domain. The dispatcher had no record of the rejection and admitted the second submission as a new job. The class: a reply that does not say which request it answers, and requests that are handled after later ones of the same sender.

Change: each submission has a number that rises over the owner's process. Replies name it, and the owner ignores replies to earlier submissions; withdrawals and cancellations name it too. A rejection is recorded for 5 s and repeated if the owner submits the job again. The hello carries the sequence number of the connection; messages that are read from a connection after a newer one was accepted are ignored, as the owner submits all its jobs again on the newest. Replies go over the connection of the last submission. A job that its first dispatcher rejects counts as not run also if the connection was lost in between.

Looked at for the same: start, stop and poll orders are answered within their own request and name the attempt; 'started' still carries only the job's id, which can only make an answer more careful; two cancellations of one job at once share a key (the first may time out; no second run).

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -2,7 +2,8 @@
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { type EventLog, type LogFields } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
-import { type JobOutcome, parseTaskName } from './job-types.js'
+import { type JobOutcome, parseTaskName, type RejectionReason } from './job-types.js'
+import { type DispatcherMessage } from './messages.js'
 import { OwnerRegistry } from './owner-registry.js'
 import { type FleetLimits } from './limits.js'
 import { type Run } from './run.js'
@@ -18,7 +19,7 @@
  */
 const runEndMarginMs = 50
 
-/** Time in milliseconds for which the outcome of a job is kept for an owner that reconnects. */
+/** Time in milliseconds for which the outcome or the rejection of a job is kept for an owner that reconnects. */
 const outcomeRetentionMs = 5_000
 
 /**
@@ -40,6 +41,19 @@
   readonly task: TaskRecord | undefined
 }
 
+/** Reason and retry delay with which a job was rejected. */
+export interface Rejection {
+  readonly reason: RejectionReason
+  readonly retryAfterMs: number
+}
+
+interface RecordedRejection extends Rejection {
+  readonly recordedAt: number
+}
+
+/** A reply about one job; the submission is filled in by `DispatchState.reply`. */
+type JobReply = Extract<DispatcherMessage, { type: 'progress' | 'ended' | 'rejected' | 'withdrawn' }>
+
 interface RecordedOutcome {
   readonly outcome: JobOutcome
   readonly recordedAt: number
@@ -68,6 +82,8 @@
   readonly #log: EventLog
   readonly #metrics: FleetMetrics
   readonly #outcomes = new Map<string, RecordedOutcome>()
+  /** Rejections by owner and job. */
+  readonly #rejections = new Map<string, RecordedRejection>()
   #unreportedDone = new Map<string, number[]>()
 
   constructor (clock: Clock, limits: FleetLimits, log: EventLog, metrics: FleetMetrics) {
@@ -140,7 +156,26 @@
   markStarted (job: DispatchedJob): void {
     if (job.started) return
     job.started = true
-    this.owners.send(job.ownerId, { type: 'started', jobIds: [job.id] })
+    job.connection.send({ type: 'started', jobIds: [job.id] })
+  }
+
+  /** Sends a reply to the last submission of a job, over the connection on which it came. */
+  reply (job: DispatchedJob, reply: JobReply): void {
+    job.connection.send(job.submissionId === undefined ? reply : { ...reply, submissionId: job.submissionId })
+  }
+
+  /** Rejects a job of which no task has started here, and records the rejection for an owner that has submitted the job again meanwhile. */
+  rejectJob (job: DispatchedJob, reason: RejectionReason, retryAfterMs: number): void {
+    const key = formatOwnedKey(job)
+    // Inserted anew, as the oldest records are looked for at the front.
+    this.#rejections.delete(key)
+    this.#rejections.set(key, { reason, retryAfterMs, recordedAt: this.now() })
+    this.reply(job, { type: 'rejected', jobId: job.id, reason, retryAfterMs })
+  }
+
+  /** @returns the rejection of an earlier submission of the job by the same owner, if there was one lately */
+  findRejection (job: DispatchedJob): Rejection | undefined {
+    return this.#rejections.get(formatOwnedKey(job))
   }
 
   /** Removes a job without an outcome and stops its runs. */
@@ -156,7 +191,7 @@
     this.removeJob(job)
     this.#stopRuns(job)
     this.#outcomes.set(job.id, { outcome, recordedAt: now })
-    this.owners.send(job.ownerId, { type: 'ended', jobId: job.id, outcome })
+    this.reply(job, { type: 'ended', jobId: job.id, outcome })
     this.log('job', 'job-ended', { job: job.id, outcome: outcome.kind, ageMs: Math.round(now - job.acceptedAt), objectiveMs: Math.round(job.spec.objectiveMs) })
   }
 
@@ -240,20 +275,30 @@
     if (this.#unreportedDone.size === 0) return
     for (const [jobId, done] of this.#unreportedDone) {
       const job = this.jobs.get(jobId)
-      if (job !== undefined) this.owners.send(job.ownerId, { type: 'progress', jobId, done })
+      if (job !== undefined) this.reply(job, { type: 'progress', jobId, done })
     }
     this.#unreportedDone = new Map()
   }
 
-  /** Removes outcomes that have been kept for the retention time. */
+  /** Removes outcomes and rejections that have been kept for the retention time. */
   expireOutcomes (now: number): void {
-    for (const [jobId, entry] of this.#outcomes) {
-      if (now - entry.recordedAt < outcomeRetentionMs) break
-      this.#outcomes.delete(jobId)
-    }
+    expireRecords(this.#outcomes, now)
+    expireRecords(this.#rejections, now)
   }
 
   #stopRuns (job: DispatchedJob): void {
     for (const task of job.tasks) this.stopRunsOfTask(task.name)
   }
 }
+
+function formatOwnedKey (job: DispatchedJob): string {
+  return `${job.ownerId} ${job.id}`
+}
+
+/** Removes the entries that have been kept for the retention time; the oldest come first. */
+function expireRecords (records: Map<string, { readonly recordedAt: number }>, now: number): void {
+  for (const [key, entry] of records) {
+    if (now - entry.recordedAt < outcomeRetentionMs) break
+    records.delete(key)
+  }
+}
--- a/packages/fleet/src/dispatched-job.ts
+++ b/packages/fleet/src/dispatched-job.ts
@@ -32,8 +32,9 @@
   /** Time at which all runs that an earlier dispatcher started must have ended. */
   readonly earlierRunsEndAt: number
   readonly tasks: readonly TaskRecord[]
-  /** Connection over which the owner submitted the job last. */
+  /** Connection over which the owner submitted the job last; replies go over it and name that submission. */
   connection: OwnerConnection
+  submissionId: number | undefined
   /** Whether a start order was sent for the job, or may have been sent by an earlier dispatcher. */
   started: boolean
   /** Wait for the first start that was predicted at admission, in milliseconds; 0 for adopted jobs. */
@@ -48,6 +49,7 @@
     const { job } = submission
     this.spec = job
     this.connection = connection
+    this.submissionId = submission.submissionId
     this.receivedAt = now
     this.earlierRunsEndAt = now + submission.quietInMs
     this.acceptedAt = now - submission.ageMs
--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -80,6 +80,8 @@
   readonly #options: DispatcherConnectionOptions
   #stream: PeerStream | undefined
   #connected = false
+  /** Number of streams that were opened to dispatchers of the domain. */
+  #streamCount = 0
   #token = 0
   #load: LoadSummary | undefined
   #lingering: ReadonlySet<string> = new Set()
@@ -201,6 +203,12 @@
     }
   }
 
+  #createHello (): OwnerMessage {
+    const { self, domain } = this.#options
+    this.#streamCount++
+    return { type: 'hello', instance: self.instance, incarnation: self.incarnation, domain, sequence: this.#streamCount }
+  }
+
   /** @returns whether this process has a dispatcher of the domain */
   #connectLocally (): boolean {
     const { local, domain, self } = this.#options
@@ -210,13 +218,13 @@
     })
     if (stream === undefined) return false
     this.#stream = stream
-    stream.send({ type: 'hello', instance: self.instance, incarnation: self.incarnation, domain })
+    stream.send(this.#createHello())
     return true
   }
 
   /** @returns whether the endpoint's process has proved not to be the dispatcher any more */
   async #tryEndpoint (endpoint: Endpoint): Promise<boolean> {
-    const { connector, self, clock } = this.#options
+    const { connector, clock } = this.#options
     let finish: (isGone: boolean) => void = () => {}
     const settled = new Promise<boolean>(resolve => { finish = resolve })
     const result = await connector.open(endpoint.address, connectTimeoutMs, {
@@ -233,7 +241,7 @@
     })
     if (result.kind !== 'open') return result.kind === 'refused'
     this.#stream = result.stream
-    result.stream.send({ type: 'hello', instance: self.instance, incarnation: self.incarnation, domain: this.domain } satisfies OwnerMessage)
+    result.stream.send(this.#createHello())
     const cancelTimeout = clock.startTimer(connectTimeoutMs, () => { finish(false) })
     const isGone = await settled
     cancelTimeout()
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -186,11 +186,13 @@
   }
 
   #handleMessage (connection: OwnerConnection, message: OwnerMessage): void {
+    // The owner submits all its jobs again on its newest connection.
+    if (this.#state.owners.isSuperseded(connection)) return
     this.#state.owners.confirm(connection)
     switch (message.type) {
       case 'submit': this.#intake.handleSubmission(connection, message, job => this.#findReleaseEvidence(job)); break
-      case 'withdraw': this.#intake.withdraw(connection, message.jobId); break
-      case 'cancel': this.#intake.cancel(connection, message.jobId, message.reason); break
+      case 'withdraw': this.#intake.withdraw(connection, message); break
+      case 'cancel': this.#intake.cancel(connection, message, message.reason); break
       case 'cancel-any': this.#intake.cancelAny(connection, message.jobId); break
       // These are handled elsewhere.
       case 'ping':
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -14,6 +14,12 @@
 /** Shortest retry delay in milliseconds that a caller is told. */
 const minRetryMs = 100
 
+/** A request of an owner about one of its jobs. */
+export interface OwnersRequest {
+  readonly jobId: string
+  readonly submissionId?: number
+}
+
 /** Admits, rejects, withdraws and cancels the jobs of one dispatcher. */
 export class JobIntake {
   readonly #state: DispatchState
@@ -39,36 +45,38 @@
     const state = this.#state
     const known = state.jobs.get(submission.job.id)
     if (known !== undefined) {
-      this.#attachOwner(connection, known)
+      this.#attachOwner(connection, known, submission.submissionId)
       return
     }
     const outcome = submission.resubmitted ? state.findOutcome(submission.job.id) : undefined
     if (outcome !== undefined) {
-      connection.send({ type: 'ended', jobId: submission.job.id, outcome })
+      connection.send({ type: 'ended', jobId: submission.job.id, outcome, submissionId: submission.submissionId })
       return
     }
     const job = new DispatchedJob(submission, connection, state.now())
-    if (this.#adoptKnownRuns(job)) job.started = true
+    const hasKnownRuns = this.#adoptKnownRuns(job)
     if (this.#hasUnconfirmedStart(job)) {
-      connection.send({ type: 'ended', jobId: job.id, outcome: { kind: 'unknown', reason: 'start-unconfirmed' } })
+      state.reply(job, { type: 'ended', jobId: job.id, outcome: { kind: 'unknown', reason: 'start-unconfirmed' } })
       return
     }
-    if (!job.started && this.#rejectUnlessAdmitted(connection, job)) return
+    if (hasKnownRuns) job.started = true
+    else if (submission.resubmitted && this.#repeatRejection(job)) return
+    if (!job.started && this.#rejectUnlessAdmitted(job)) return
     this.#addJob(connection, job, findReleaseEvidence(job))
   }
 
   /** Returns a job to its owner if none of its tasks has started. */
-  withdraw (connection: OwnerConnection, jobId: string): void {
-    const job = this.#state.jobs.get(jobId)
-    if (job === undefined || job.started || job.ownerId !== connection.ownerId) return
+  withdraw (connection: OwnerConnection, { jobId, submissionId }: OwnersRequest): void {
+    const job = this.#findOwned(connection, jobId, submissionId)
+    if (job === undefined || job.started) return
     this.#state.removeJob(job)
-    connection.send({ type: 'withdrawn', jobId })
+    this.#state.reply(job, { type: 'withdrawn', jobId })
   }
 
   /** Drops a job at the request of its owner. */
-  cancel (connection: OwnerConnection, jobId: string, reason: string): void {
-    const job = this.#state.jobs.get(jobId)
-    if (job?.ownerId === connection.ownerId) this.#state.dropJob(job, reason)
+  cancel (connection: OwnerConnection, { jobId, submissionId }: OwnersRequest, reason: string): void {
+    const job = this.#findOwned(connection, jobId, submissionId)
+    if (job !== undefined) this.#state.dropJob(job, reason)
   }
 
   /** Drops a job regardless of its owner, and replies whether it was known. */
@@ -94,10 +102,10 @@
   }
 
   #shedJob (job: DispatchedJob, waitMs: number, now: number): void {
-    const { queue, owners } = this.#state
+    const { queue } = this.#state
     this.#state.removeJob(job)
     const retryAfterMs = Math.max(minRetryMs, Math.round(Math.min(waitMs, noTargetRetryMs)))
-    owners.send(job.ownerId, { type: 'rejected', jobId: job.id, reason: 'overloaded', retryAfterMs })
+    this.#state.rejectJob(job, 'overloaded', retryAfterMs)
     this.#state.log('job', 'job-rejected', { job: job.id, reason: 'waited-too-long', retryAfterMs, waitMs: Math.round(waitMs), waitedMs: Math.round(now - job.acceptedAt), usefulMs: Math.round(job.usefulUntil - now), queued: queue.size })
   }
 
@@ -111,13 +119,32 @@
     else if (job.hasStartableTask()) state.queue.add(job)
   }
 
-  #attachOwner (connection: OwnerConnection, job: DispatchedJob): void {
+  #attachOwner (connection: OwnerConnection, job: DispatchedJob, submissionId: number | undefined): void {
     this.#state.log('job', 'job-attached', { job: job.id, owner: connection.ownerId, previous: job.ownerId })
     job.connection = connection
+    job.submissionId = submissionId
     this.#state.owners.trackOwner(connection.ownerId)
     if (job.started) connection.send({ type: 'started', jobIds: [job.id] })
     const done = job.listDone()
-    if (done.length > 0) connection.send({ type: 'progress', jobId: job.id, done })
+    if (done.length > 0) this.#state.reply(job, { type: 'progress', jobId: job.id, done })
+  }
+
+  /** @returns the job that a message of its owner is about; undefined if the job was submitted anew since the message was sent */
+  #findOwned (connection: OwnerConnection, jobId: string, submissionId: number | undefined): DispatchedJob | undefined {
+    const job = this.#state.jobs.get(jobId)
+    return job?.ownerId === connection.ownerId && (submissionId === undefined || submissionId === job.submissionId) ? job : undefined
+  }
+
+  /**
+   * Repeats the rejection of a job whose owner has submitted it again before it received the rejection.
+   *
+   * @returns whether there was one
+   */
+  #repeatRejection (job: DispatchedJob): boolean {
+    const rejection = this.#state.findRejection(job)
+    if (rejection === undefined) return false
+    this.#reject(job, rejection.reason, rejection.retryAfterMs, { repeated: 1 })
+    return true
   }
 
   /**
@@ -158,11 +185,11 @@
    *
    * @returns whether the job was rejected
    */
-  #rejectUnlessAdmitted (connection: OwnerConnection, job: DispatchedJob): boolean {
-    if (this.#closed) return this.#reject(connection, job, 'stopping', minRetryMs, {})
+  #rejectUnlessAdmitted (job: DispatchedJob): boolean {
+    if (this.#closed) return this.#reject(job, 'stopping', minRetryMs, {})
     const { sessions, queue } = this.#state
     const problem = this.#findPlacementProblem(job)
-    if (problem !== undefined) return this.#reject(connection, job, problem, noTargetRetryMs, { targets: sessions.size })
+    if (problem !== undefined) return this.#reject(job, problem, noTargetRetryMs, { targets: sessions.size })
     const now = this.#state.now()
     const throughput = estimateThroughput(sessions.values(), job.spec.service)
     const load = estimateLoad(queue, throughput, job)
@@ -170,7 +197,7 @@
     const ownWorkMs = load.workAhead > 0 && throughput > 0 ? sumWaitingWork(job) / throughput : 0
     const decision = decideAdmission(load, job.remainingMs + ownWorkMs, job.usefulUntil - now)
     const inputs = { predictedMs: Math.round(decision.predictedMs), usefulMs: Math.round(job.usefulUntil - now), queued: queue.size, rate: Math.round(throughput) }
-    if (decision.kind === 'reject') return this.#reject(connection, job, 'overloaded', decision.retryAfterMs, inputs)
+    if (decision.kind === 'reject') return this.#reject(job, 'overloaded', decision.retryAfterMs, inputs)
     job.predictedWaitMs = decision.waitMs
     this.#state.log('job', 'job-admitted', { job: job.id, ...inputs, waitMs: Math.round(decision.waitMs) })
     return false
@@ -183,8 +210,8 @@
     return isFit ? undefined : 'fits-no-target'
   }
 
-  #reject (connection: OwnerConnection, job: DispatchedJob, reason: RejectionReason, retryAfterMs: number, inputs: Readonly<Record<string, number>>): true {
-    connection.send({ type: 'rejected', jobId: job.id, reason, retryAfterMs })
+  #reject (job: DispatchedJob, reason: RejectionReason, retryAfterMs: number, inputs: Readonly<Record<string, number>>): true {
+    this.#state.rejectJob(job, reason, retryAfterMs)
     this.#state.log('job', 'job-rejected', { job: job.id, reason, retryAfterMs, ...inputs })
     return true
   }
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -3,7 +3,7 @@
 import { type DispatcherConnection, DispatcherConnectionObserver, lostDispatcherRunExpiryMs } from './dispatcher-connection.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
-import { type JobOutcome, type JobSpec, type RejectionReason } from './job-types.js'
+import { type JobSpec, type RejectionReason } from './job-types.js'
 import { type FleetLimits } from './limits.js'
 import { type DispatcherMessage, type LoadSummary } from './messages.js'
 import { type JobAnswer, OwnedJob } from './owned-job.js'
@@ -17,6 +17,8 @@
 /** Retry delay in milliseconds told to callers whose job got no dispatcher. */
 const noDispatcherRetryAfterMs = 500
 
+type Reply<T extends DispatcherMessage['type']> = Extract<DispatcherMessage, { type: T }>
+
 /** Handle with which a caller awaits a job. */
 export interface JobHandle {
   readonly answer: Promise<JobAnswer>
@@ -44,6 +46,7 @@
   readonly #jobs = new Map<string, OwnedJob>()
   readonly #pendingCancellations = new Map<string, Map<string, (found: boolean) => void>>()
   readonly #onHandOver: (domain: string, successor: string) => void
+  #lastSubmissionId = 0
   #cancelTick: (() => void) | undefined
 
   /**
@@ -139,10 +142,10 @@
   override onDispatcherMessage (connection: DispatcherConnection, message: DispatcherMessage): void {
     switch (message.type) {
       case 'started': this.#handleStarted(connection, message.jobIds); break
-      case 'progress': this.#handleProgress(connection, message.jobId, message.done); break
-      case 'ended': this.#handleEnded(connection, message.jobId, message.outcome); break
-      case 'rejected': this.#handleRejection(connection, message.jobId, message.reason, message.retryAfterMs); break
-      case 'withdrawn': this.#handleWithdrawn(connection, message.jobId); break
+      case 'progress': this.#handleProgress(connection, message); break
+      case 'ended': this.#handleEnded(connection, message); break
+      case 'rejected': this.#handleRejection(connection, message); break
+      case 'withdrawn': this.#handleWithdrawn(connection, message); break
       case 'cancelled-any': this.#pendingCancellations.get(message.jobId)?.get(connection.domain)?.(message.found); break
       case 'hand-over': this.#onHandOver(connection.domain, message.successor); break
       default:
@@ -156,21 +159,25 @@
     }
   }
 
-  #handleProgress (connection: DispatcherConnection, jobId: string, done: readonly number[]): void {
-    const job = this.#findJobAt(jobId, connection)
+  #handleProgress (connection: DispatcherConnection, { jobId, submissionId, done }: Reply<'progress'>): void {
+    const job = this.#findJobAt(jobId, connection, submissionId)
     for (const position of done) job?.done.add(position)
   }
 
-  #handleEnded (connection: DispatcherConnection, jobId: string, outcome: JobOutcome): void {
-    const job = this.#findJobAt(jobId, connection)
+  #handleEnded (connection: DispatcherConnection, { jobId, submissionId, outcome }: Reply<'ended'>): void {
+    const job = this.#findJobAt(jobId, connection, submissionId)
     if (job === undefined) return
     this.#answerJob(job, outcome)
   }
 
-  /** @returns the job if the dispatcher of this connection has it */
-  #findJobAt (jobId: string, connection: DispatcherConnection): OwnedJob | undefined {
+  /**
+   * @param submissionId - the submission to which a message replies; undefined when it does not matter
+   * @returns the job if the dispatcher of this connection has it, and has not been sent a later submission
+   */
+  #findJobAt (jobId: string, connection: DispatcherConnection, submissionId?: number): OwnedJob | undefined {
     const job = this.#jobs.get(jobId)
-    return job !== undefined && job.location.kind !== 'none' && job.location.domain === connection.domain ? job : undefined
+    if (job === undefined || job.location.kind === 'none' || job.location.domain !== connection.domain) return undefined
+    return submissionId === undefined || submissionId === job.location.submissionId ? job : undefined
   }
 
   /** Submits a job without a dispatcher: to one that may still hold it, else to the domain with the shortest expected wait. */
@@ -190,17 +197,21 @@
 
   #submitTo (job: OwnedJob, connection: DispatcherConnection, resubmitted: boolean): void {
     const now = this.#options.clock.now()
-    job.location = { kind: 'submitted', domain: connection.domain, submittedAt: now }
-    const { load } = connection
+    const { load, domain, token } = connection
+    const isSameDispatcher = job.location.kind !== 'none' && job.location.domain === domain && job.location.token === token
+    const isFirstDispatcher = isSameDispatcher && job.location.kind !== 'none' ? job.location.isFirstDispatcher : !job.mayHaveStarted
+    const submissionId = ++this.#lastSubmissionId
+    job.location = { kind: 'submitted', domain, token, submissionId, submittedAt: now, isFirstDispatcher }
     const quietInMs = resubmitted ? Math.round(connection.measureQuietMs()) : 0
-    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, domain: connection.domain, resubmitted, quietInMs, ageMs: Math.round(now - job.acceptedAt), token: connection.token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs })
+    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(now - job.acceptedAt), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs })
     connection.reserveProcessors(job.demand.processors)
-    connection.send({ type: 'submit', job: job.spec, ageMs: now - job.acceptedAt, resubmitted, quietInMs, done: [...job.done] })
+    connection.send({ type: 'submit', submissionId, job: job.spec, ageMs: now - job.acceptedAt, resubmitted, quietInMs, done: [...job.done] })
   }
 
-  #handleRejection (connection: DispatcherConnection, jobId: string, reason: RejectionReason, retryAfterMs: number): void {
-    const job = this.#findJobAt(jobId, connection)
-    if (job === undefined) return
+  #handleRejection (connection: DispatcherConnection, { jobId, submissionId, reason, retryAfterMs }: Reply<'rejected'>): void {
+    const job = this.#findJobAt(jobId, connection, submissionId)
+    if (job === undefined || job.location.kind === 'none') return
+    if (job.location.isFirstDispatcher) job.mayHaveStarted = false
     job.location = { kind: 'none' }
     job.rejectedBy.add(connection.domain)
     job.retryAfterMs = job.rejectedBy.size === 1 ? retryAfterMs : Math.min(job.retryAfterMs, retryAfterMs)
@@ -215,8 +226,8 @@
     else this.#answerJob(job, createRejection(job, reason))
   }
 
-  #handleWithdrawn (connection: DispatcherConnection, jobId: string): void {
-    const job = this.#findJobAt(jobId, connection)
+  #handleWithdrawn (connection: DispatcherConnection, { jobId, submissionId }: Reply<'withdrawn'>): void {
+    const job = this.#findJobAt(jobId, connection, submissionId)
     if (job === undefined || job.location.kind !== 'withdrawing') return
     const to = this.#connections.get(job.location.destination)
     job.location = { kind: 'none' }
@@ -234,9 +245,9 @@
       const from = this.#connections.get(job.location.domain)
       if (from?.isConnected !== true || !canStartAtOnce({ ...load, freeProcessors: free }, job.demand)) continue
       free -= job.demand.processors
-      job.location = { kind: 'withdrawing', domain: from.domain, destination: to.domain }
+      job.location = { ...job.location, kind: 'withdrawing', destination: to.domain }
       this.#options.log.log('job', 'job-moves', { job: job.spec.id, from: from.domain, to: to.domain, free: load.freeProcessors, waitedMs: Math.round(now - job.acceptedAt) })
-      from.send({ type: 'withdraw', jobId: job.spec.id })
+      from.send({ type: 'withdraw', jobId: job.spec.id, submissionId: job.location.submissionId })
     }
   }
 
@@ -283,7 +294,7 @@
 
   /** Cancels a job at its dispatcher, if it has one, and answers its callers. */
   #cancelAndAnswer (job: OwnedJob, answer: JobAnswer, reason: string): void {
-    if (job.location.kind !== 'none') this.#connections.get(job.location.domain)?.send({ type: 'cancel', jobId: job.spec.id, reason })
+    if (job.location.kind !== 'none') this.#connections.get(job.location.domain)?.send({ type: 'cancel', jobId: job.spec.id, reason, submissionId: job.location.submissionId })
     this.#answerJob(job, answer)
   }
 
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -2,6 +2,11 @@
 
 /** A submission of a job to a dispatcher. */
 export interface Submission {
+  /**
+   * Identifies the submission among all of the owner's process. The dispatcher's replies name it, as the
+   * job may have been submitted again meanwhile. Earlier versions omit it here and in all other messages.
+   */
+  readonly submissionId?: number
   readonly job: JobSpec
   /** Time in milliseconds since the owner accepted the job. */
   readonly ageMs: number
@@ -28,12 +33,13 @@
 
 /** Messages from an owner to a dispatcher. */
 export type OwnerMessage =
-  | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string }
+  /** `sequence` rises with each connection that the owner opens to the domain; earlier versions omit it. */
+  | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number }
   /** `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
   | { readonly type: 'ping', readonly configurationVersion: number, readonly heardSentAt?: number }
   | ({ readonly type: 'submit' } & Submission)
-  | { readonly type: 'withdraw', readonly jobId: string }
-  | { readonly type: 'cancel', readonly jobId: string, readonly reason: string }
+  | { readonly type: 'withdraw', readonly jobId: string, readonly submissionId?: number }
+  | { readonly type: 'cancel', readonly jobId: string, readonly reason: string, readonly submissionId?: number }
   /** Cancels a job, whichever instance owns it; the reply tells whether the dispatcher knew the job. */
   | { readonly type: 'cancel-any', readonly jobId: string }
   | { readonly type: 'configuration', readonly version: number, readonly text: string }
@@ -51,11 +57,11 @@
    */
   | { readonly type: 'pong', readonly sentAt?: number, readonly load: LoadSummary, readonly lingering?: readonly string[], readonly configurationVersion: number }
   | { readonly type: 'started', readonly jobIds: readonly string[] }
-  | { readonly type: 'progress', readonly jobId: string, readonly done: readonly number[] }
-  | { readonly type: 'ended', readonly jobId: string, readonly outcome: JobOutcome }
+  | { readonly type: 'progress', readonly jobId: string, readonly done: readonly number[], readonly submissionId?: number }
+  | { readonly type: 'ended', readonly jobId: string, readonly outcome: JobOutcome, readonly submissionId?: number }
   /** The dispatcher rejects the job and has started no task of it. */
-  | { readonly type: 'rejected', readonly jobId: string, readonly reason: RejectionReason, readonly retryAfterMs: number }
-  | { readonly type: 'withdrawn', readonly jobId: string }
+  | { readonly type: 'rejected', readonly jobId: string, readonly reason: RejectionReason, readonly retryAfterMs: number, readonly submissionId?: number }
+  | { readonly type: 'withdrawn', readonly jobId: string, readonly submissionId?: number }
   | { readonly type: 'cancelled-any', readonly jobId: string, readonly found: boolean }
   | { readonly type: 'configuration', readonly version: number, readonly text: string }
   /** The dispatcher is stopping; the named successor should claim the domain at once. */
--- a/packages/fleet/src/owned-job.ts
+++ b/packages/fleet/src/owned-job.ts
@@ -13,8 +13,19 @@
 /** The dispatcher that has a job, by its domain, or none. */
 export type JobLocation =
   | { readonly kind: 'none' }
-  | { readonly kind: 'submitted', readonly domain: string, readonly submittedAt: number }
-  | { readonly kind: 'withdrawing', readonly domain: string, readonly destination: string }
+  | ({ readonly kind: 'submitted' } & SubmissionRecord)
+  | ({ readonly kind: 'withdrawing', readonly destination: string } & SubmissionRecord)
+
+/** The last submission of a job to a dispatcher. */
+export interface SubmissionRecord {
+  readonly domain: string
+  /** Token of the dispatcher. */
+  readonly token: number
+  readonly submissionId: number
+  readonly submittedAt: number
+  /** Whether no task of the job can have started before it was first submitted to this dispatcher. */
+  readonly isFirstDispatcher: boolean
+}
 
 /** A job that this instance has accepted from a caller. */
 export class OwnedJob {
--- a/packages/fleet/src/owner-registry.ts
+++ b/packages/fleet/src/owner-registry.ts
@@ -7,6 +7,8 @@
 export abstract class OwnerConnection {
   /** Incarnation id of the owner's instance. */
   abstract readonly ownerId: string
+  /** Rises with each connection that the owner opens to this dispatcher's domain; 0 for owners of an earlier version. */
+  abstract readonly sequence: number
   abstract send (message: DispatcherMessage): void
 }
 
@@ -18,6 +20,8 @@
   confirmedAt: number
   /** Time at which no connection was left open; later connections clear it only with a message of the owner. */
   disconnectedAt: number | undefined
+  /** Highest sequence number of the owner's connections. */
+  newestSequence: number
 }
 
 /** The owners that have jobs at a dispatcher or are connected to it. */
@@ -29,9 +33,10 @@
 
   /** Adds a connection whose owner is welcomed now. */
   add (connection: OwnerConnection, now: number): void {
-    const owner = this.#owners.get(connection.ownerId) ?? { connections: [], confirmedAt: -Infinity, disconnectedAt: undefined }
+    const owner = this.#owners.get(connection.ownerId) ?? { connections: [], confirmedAt: -Infinity, disconnectedAt: undefined, newestSequence: 0 }
     this.#owners.set(connection.ownerId, owner)
     owner.connections.push(connection)
+    owner.newestSequence = Math.max(owner.newestSequence, connection.sequence)
     this.#welcomedAt.set(connection, now)
   }
 
@@ -52,7 +57,7 @@
    * as disconnected since time 0 of the clock, so that it expires.
    */
   trackOwner (ownerId: string): void {
-    if (!this.#owners.has(ownerId)) this.#owners.set(ownerId, { connections: [], confirmedAt: -Infinity, disconnectedAt: 0 })
+    if (!this.#owners.has(ownerId)) this.#owners.set(ownerId, { connections: [], confirmedAt: -Infinity, disconnectedAt: 0, newestSequence: 0 })
   }
 
   /**
@@ -88,6 +93,11 @@
     return this.#owners.get(connection.ownerId)?.connections.some(other => this.#answered.has(other)) === true
   }
 
+  /** @returns whether the owner has opened a newer connection, on which it submits all its jobs again */
+  isSuperseded (connection: OwnerConnection): boolean {
+    return connection.sequence < (this.#owners.get(connection.ownerId)?.newestSequence ?? 0)
+  }
+
   isConnected (ownerId: string): boolean {
     return (this.#owners.get(ownerId)?.connections.length ?? 0) > 0
   }
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -12,9 +12,12 @@
 /** Interval in milliseconds between checks for heartbeat timeouts. */
 const timeoutCheckIntervalMs = 150
 
+type HelloMessage = Extract<OwnerMessage, { type: 'hello' }>
+
 /** Connection to an owner over a network stream or an in-process one. */
 class StreamConnection extends OwnerConnection {
   override readonly ownerId: string
+  override readonly sequence: number
   readonly instance: string
   readonly #stream: PeerStream
   lastMessageAt: number
@@ -22,10 +25,11 @@
   lastSentLingering = ''
   lastSentConfigurationVersion = 0
 
-  constructor (ownerId: string, instance: string, stream: PeerStream, now: number) {
+  constructor (hello: HelloMessage, stream: PeerStream, now: number) {
     super()
-    this.ownerId = ownerId
-    this.instance = instance
+    this.ownerId = hello.incarnation
+    this.sequence = hello.sequence ?? 0
+    this.instance = hello.instance
     this.#stream = stream
     this.lastMessageAt = now
   }
@@ -150,13 +154,13 @@
     for (const connection of [...this.#connections.keys()]) connection.close('the instance stops')
   }
 
-  #acceptHello (hello: Extract<OwnerMessage, { type: 'hello' }>, stream: PeerStream): StreamConnection | undefined {
+  #acceptHello (hello: HelloMessage, stream: PeerStream): StreamConnection | undefined {
     const dispatcher = this.#dispatchers.get(hello.domain)
     if (dispatcher === undefined) {
       stream.send({ type: 'not-dispatching', incarnation: this.#incarnation } satisfies DispatcherMessage)
       return undefined
     }
-    const connection = new StreamConnection(hello.incarnation, hello.instance, stream, this.#clock.now())
+    const connection = new StreamConnection(hello, stream, this.#clock.now())
     this.#connections.set(connection, hello.domain)
     dispatcher.addOwner(connection)
     return connection
--- a/packages/fleet/test/dispatcher-fixture.ts
+++ b/packages/fleet/test/dispatcher-fixture.ts
@@ -81,11 +81,13 @@
 /** An owner's connection that records the messages to it. */
 export class FakeOwnerConnection extends OwnerConnection {
   override readonly ownerId: string
+  override readonly sequence: number
   readonly received: DispatcherMessage[] = []
 
-  constructor (ownerId: string) {
+  constructor (ownerId: string, sequence = 0) {
     super()
     this.ownerId = ownerId
+    this.sequence = sequence
   }
 
   override send (message: DispatcherMessage): void { this.received.push(message) }
