--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -2,11 +2,18 @@
 import { type ConfigurationRelay } from './configuration-relay.js'
 import { type Directory, type InstanceEntry, tokensPerRevision } from './directory.js'
 import { type EventLog } from './event-log.js'
-import { type DispatcherMessage, type LoadSummary, type OwnerMessage } from './messages.js'
+import { type DispatcherMessage, type HeartbeatMessage, type LoadSummary, type OwnerMessage } from './messages.js'
+import { startPeriodicTimer } from './periodic-timer.js'
 import { type PeerConnector, type PeerStream } from './peer-streams.js'
 
-/** Interval in milliseconds between heartbeats to a connected dispatcher. */
-const heartbeatIntervalMs = 100
+/** Interval in milliseconds between checks of a connection. */
+const checkIntervalMs = 50
+
+/** Time in milliseconds without any message after which a connected dispatcher is asked for one; longer than between its heartbeats. */
+const pingAfterMs = 250
+
+/** Minimum interval in milliseconds between two such requests. */
+const pingIntervalMs = 100
 
 /** Time in milliseconds without any message after which the connection is closed. */
 const heartbeatTimeoutMs = 450
@@ -14,9 +21,6 @@
 /** Time limit in milliseconds for opening a stream, and again for the dispatcher's first message on it. */
 const connectTimeoutMs = 200
 
-/** Interval in milliseconds between attempts to connect; an attempt tries all known addresses. */
-const reconnectDelayMs = 60
-
 /**
  * Time in milliseconds after the end of a dispatcher until all its leases have expired, including at
  * targets with slow clocks. It also covers a dispatcher that goes on behind a partition that refuses
@@ -84,9 +88,10 @@
   #streamCount = 0
   #token = 0
   #load: LoadSummary | undefined
-  #lingering: ReadonlySet<string> = new Set()
+  #lingering = new Set<string>()
   #disconnectedAt: number
   #lastMessageAt = 0
+  #pingedAt = -Infinity
   /** Newest `sentAt` that was received on the current stream. */
   #heardSentAt: number | undefined
   #holder: Endpoint | undefined
@@ -130,7 +135,8 @@
   }
 
   start (): void {
-    this.#runHeartbeat()
+    this.#cancelTimer = startPeriodicTimer(this.#options.clock, checkIntervalMs, () => { this.#check() })
+    this.#connect()
   }
 
   close (): void {
@@ -165,18 +171,21 @@
     if (!this.#connected) this.#connect()
   }
 
-  #runHeartbeat (): void {
-    if (this.#closed) return
-    this.#cancelTimer = this.#options.clock.startTimer(this.#connected ? heartbeatIntervalMs : reconnectDelayMs, () => { this.#runHeartbeat() })
+  /** Connects, or checks whether the dispatcher still responds. */
+  #check (): void {
     if (!this.#connected) {
       this.#connect()
       return
     }
-    if (this.#options.clock.now() - this.#lastMessageAt > heartbeatTimeoutMs) {
+    const now = this.#options.clock.now()
+    const silentMs = now - this.#lastMessageAt
+    if (silentMs > heartbeatTimeoutMs) {
       this.#stream?.close('silent')
       return
     }
-    this.#stream?.send({ type: 'ping', configurationVersion: this.#options.relay.version, ...(this.#heardSentAt === undefined ? {} : { heardSentAt: this.#heardSentAt }) } satisfies OwnerMessage)
+    if (silentMs < pingAfterMs || now - this.#pingedAt < pingIntervalMs) return
+    this.#pingedAt = now
+    this.send({ type: 'ping', configurationVersion: this.#options.relay.version, ...(this.#heardSentAt === undefined ? {} : { heardSentAt: this.#heardSentAt }) })
   }
 
   #connect (): void {
@@ -256,10 +265,19 @@
       case 'welcome':
         this.#heardSentAt = message.sentAt
         this.#handleWelcome(message.token, endpoint)
+        if (this.#connected && message.sentAt !== undefined) this.#replyToHeartbeat(message.sentAt)
         return
       case 'not-dispatching': this.#stream?.close('not dispatching'); return
       case 'configuration': this.#options.relay.applyIfNewer(message, `dispatcher of ${this.domain}`); return
-      case 'pong': this.#handlePong(message); return
+      case 'heartbeat':
+        this.#updateLingering(message)
+        this.#handleLoad(message)
+        this.#replyToHeartbeat(message.sentAt)
+        return
+      case 'pong':
+        if (message.lingering !== undefined) this.#lingering = new Set(message.lingering)
+        this.#handleLoad(message)
+        return
       default: this.#options.observer.onDispatcherMessage(this, message)
     }
   }
@@ -282,10 +300,20 @@
     this.#options.observer.onConnected(this, isNew)
   }
 
-  #handlePong (message: Extract<DispatcherMessage, { type: 'pong' }>): void {
+  /** Answers at once: the dispatcher keeps runs alive only for owners that it knows to live. */
+  #replyToHeartbeat (heardSentAt: number): void {
+    this.send({ type: 'heartbeat-reply', configurationVersion: this.#options.relay.version, heardSentAt })
+  }
+
+  #updateLingering ({ lingering, lingeringAdded = [], lingeringRemoved = [] }: HeartbeatMessage): void {
+    if (lingering !== undefined) this.#lingering = new Set(lingering)
+    for (const id of lingeringRemoved) this.#lingering.delete(id)
+    for (const id of lingeringAdded) this.#lingering.add(id)
+  }
+
+  #handleLoad (message: HeartbeatMessage | Extract<DispatcherMessage, { type: 'pong' }>): void {
     this.#load = message.load
     this.#heardSentAt = message.sentAt
-    if (message.lingering !== undefined) this.#lingering = new Set(message.lingering)
     const { current } = this.#options.relay
     if (current !== undefined && message.configurationVersion < current.version) this.send({ type: 'configuration', ...current })
     this.#options.observer.onLoadChanged(this)
--- a/packages/fleet/src/dispatcher-election.ts
+++ b/packages/fleet/src/dispatcher-election.ts
@@ -7,6 +7,7 @@
 import { type FleetMetrics } from './fleet-metrics.js'
 import { type MetadataStore } from './metadata-store.js'
 import { type OwnerServer } from './owner-server.js'
+import { startPeriodicTimer } from './periodic-timer.js'
 import { type TargetList } from './target-list.js'
 
 /** Interval in milliseconds between checks of the registration and of all domains. */
@@ -73,6 +74,7 @@
   }
 
   start (): void {
+    this.#cancelTick = startPeriodicTimer(this.#options.clock, checkIntervalMs, () => { this.#tick() })
     this.#tick()
   }
 
@@ -106,7 +108,6 @@
   }
 
   #tick (): void {
-    this.#cancelTick = this.#options.clock.startTimer(checkIntervalMs, () => { this.#tick() })
     this.#register()
     if (this.#isLeaving) return
     for (const [domain, connection] of this.#connections) this.#checkDomain(domain, connection)
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -9,6 +9,7 @@
 import { summarizeLoad } from './load-estimates.js'
 import { type LoadSummary, type OwnerMessage } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
+import { startPeriodicTimer } from './periodic-timer.js'
 import { RunTracker } from './run-tracker.js'
 import { TargetSession } from './target-session.js'
 import { type TargetConnector, type TargetInfo } from './target-types.js'
@@ -67,9 +68,9 @@
   #token: number
   /** Whether the list has named every target that an earlier dispatcher may have used, at a time since this one began. */
   #hasCompleteList = false
+  readonly #cancelMaintenance: () => void
   #stopped = false
   #startsPaused = false
-  #cancelMaintenance: (() => void) | undefined
 
   constructor (options: DispatcherOptions) {
     this.#options = options
@@ -83,7 +84,7 @@
       onSuperseded: session => { this.#onSuperseded(session) }
     })
     this.#scheduler = new TaskScheduler(this.#state, () => this.#token, options.remoteFactor)
-    this.#scheduleMaintenance()
+    this.#cancelMaintenance = startPeriodicTimer(options.clock, maintenanceIntervalMs, () => { this.#mailbox.post(() => { this.#runMaintenance() }) })
   }
 
   get token (): number { return this.#token }
@@ -113,7 +114,7 @@
   stop (): void {
     if (this.#stopped) return
     this.#stopped = true
-    this.#cancelMaintenance?.()
+    this.#cancelMaintenance()
     this.#mailbox.stop()
     for (const session of this.#state.sessions.values()) session.close()
   }
@@ -151,7 +152,7 @@
   /** Queues one message of an owner to be handled. Heartbeats come often and change no queue, so they are handled at once. */
   enqueueMessage (connection: OwnerConnection, message: OwnerMessage): void {
     if (this.#stopped) return
-    if (message.type === 'ping') this.#handleHeartbeat(connection, message.heardSentAt)
+    if (message.type === 'ping' || message.type === 'heartbeat-reply') this.#handleHeartbeat(connection, message.heardSentAt)
     else this.#mailbox.post(() => { this.#handleMessage(connection, message) })
   }
 
@@ -196,6 +197,7 @@
       case 'cancel-any': this.#intake.cancelAny(connection, message.jobId); break
       // These are handled elsewhere.
       case 'ping':
+      case 'heartbeat-reply':
       case 'hello':
       case 'configuration':
     }
@@ -288,14 +290,6 @@
     this.#options.onSuperseded()
   }
 
-  #scheduleMaintenance (): void {
-    this.#cancelMaintenance = this.#options.clock.startTimer(maintenanceIntervalMs, () => {
-      if (this.#stopped) return
-      this.#mailbox.post(() => { this.#runMaintenance() })
-      this.#scheduleMaintenance()
-    })
-  }
-
   #runMaintenance (): void {
     const now = this.#state.now()
     const { jobs, owners, unclaimedRuns, runs } = this.#state
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -7,6 +7,7 @@
 import { type FleetLimits } from './limits.js'
 import { type DispatcherMessage, type LoadSummary } from './messages.js'
 import { type JobAnswer, OwnedJob } from './owned-job.js'
+import { startPeriodicTimer } from './periodic-timer.js'
 
 /** Interval in milliseconds between checks of all jobs for expiry and for lost dispatchers. */
 const checkIntervalMs = 50
@@ -47,7 +48,7 @@
   readonly #pendingCancellations = new Map<string, Map<string, (found: boolean) => void>>()
   readonly #onHandOver: (domain: string, successor: string) => void
   #lastSubmissionId = 0
-  #cancelTick: (() => void) | undefined
+  readonly #cancelTick: () => void
 
   /**
    * @param onHandOver - called when a dispatcher asks this instance to take over its domain
@@ -56,7 +57,7 @@
     super()
     this.#options = options
     this.#onHandOver = onHandOver
-    this.#scheduleTick()
+    this.#cancelTick = startPeriodicTimer(options.clock, checkIntervalMs, () => { this.#checkJobs() })
   }
 
   get jobCount (): number { return this.#jobs.size }
@@ -112,7 +113,7 @@
   }
 
   close (): void {
-    this.#cancelTick?.()
+    this.#cancelTick()
   }
 
   override onConnected (connection: DispatcherConnection): void {
@@ -304,12 +305,9 @@
     this.#cancelAndAnswer(job, cannotHaveStarted ? { kind: 'rejected', reason: 'no-dispatcher', retryAfterMs: noDispatcherRetryAfterMs } : { kind: 'unknown', reason }, reason)
   }
 
-  #scheduleTick (): void {
-    this.#cancelTick = this.#options.clock.startTimer(checkIntervalMs, () => {
-      this.#scheduleTick()
-      const now = this.#options.clock.now()
-      for (const job of [...this.#jobs.values()]) this.#checkJob(job, now)
-    })
+  #checkJobs (): void {
+    const now = this.#options.clock.now()
+    for (const job of [...this.#jobs.values()]) this.#checkJob(job, now)
   }
 
   #checkJob (job: OwnedJob, now: number): void {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -35,7 +35,9 @@
 export type OwnerMessage =
   /** `sequence` rises with each connection that the owner opens to the domain; earlier versions omit it. */
   | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number }
-  /** `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
+  /** Answers a heartbeat, or the welcome; `heardSentAt` is its `sentAt`. */
+  | { readonly type: 'heartbeat-reply', readonly configurationVersion: number, readonly heardSentAt: number }
+  /** Asks a dispatcher that has been silent for a pong. `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
   | { readonly type: 'ping', readonly configurationVersion: number, readonly heardSentAt?: number }
   | ({ readonly type: 'submit' } & Submission)
   | { readonly type: 'withdraw', readonly jobId: string, readonly submissionId?: number }
@@ -44,15 +46,30 @@
   | { readonly type: 'cancel-any', readonly jobId: string }
   | { readonly type: 'configuration', readonly version: number, readonly text: string }
 
+/** Periodic message of a dispatcher to all its owners, who answer it at once. */
+export interface HeartbeatMessage {
+  readonly type: 'heartbeat'
+  /** The dispatcher's monotonic time in milliseconds. */
+  readonly sentAt: number
+  readonly load: LoadSummary
+  readonly configurationVersion: number
+  /** Ids of all jobs that a resubmission may concern; only in the first heartbeat on a connection. */
+  readonly lingering?: readonly string[]
+  /** Changes of that list since the last heartbeat; absent if there are none. */
+  readonly lingeringAdded?: readonly string[]
+  readonly lingeringRemoved?: readonly string[]
+}
+
 /** Messages from a dispatcher to an owner. */
 export type DispatcherMessage =
+  | HeartbeatMessage
   /** `sentAt` is the dispatcher's monotonic time in milliseconds; earlier versions omit it. */
   | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number }
   /** The dispatcher has stopped: it sends no more orders and renews no leases. */
   | { readonly type: 'stopped' }
   | { readonly type: 'not-dispatching', readonly incarnation: string }
   /**
-   * `lingering` holds the ids of jobs that a resubmission may concern; it is absent if they have not changed.
+   * Answers a ping. `lingering` holds the ids of jobs that a resubmission may concern.
    * `sentAt` is the dispatcher's monotonic time in milliseconds; earlier versions omit it.
    */
   | { readonly type: 'pong', readonly sentAt?: number, readonly load: LoadSummary, readonly lingering?: readonly string[], readonly configurationVersion: number }
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -2,8 +2,10 @@
 import { type ConfigurationRelay } from './configuration-relay.js'
 import { type Dispatcher } from './dispatcher.js'
 import { LocalDispatcherRegistry } from './dispatcher-connection.js'
+import { HeartbeatSource } from './heartbeat-source.js'
 import { type DispatcherMessage, type OwnerMessage } from './messages.js'
 import { OwnerConnection } from './owner-registry.js'
+import { startPeriodicTimer } from './periodic-timer.js'
 import { type PeerHandler, type PeerStream } from './peer-streams.js'
 
 /** Time in milliseconds without any message after which an owner's connection is closed; a few heartbeats. */
@@ -12,6 +14,14 @@
 /** Interval in milliseconds between checks for heartbeat timeouts. */
 const timeoutCheckIntervalMs = 150
 
+/**
+ * Interval in milliseconds between two heartbeats to the owners of a dispatcher. Above the number of
+ * owners the longer one applies, so that heartbeats take a bounded part of a dispatcher's time.
+ */
+const heartbeatIntervalMs = 100
+const largeFleetHeartbeatIntervalMs = 200
+const largeFleetOwners = 32
+
 type HelloMessage = Extract<OwnerMessage, { type: 'hello' }>
 
 /** Connection to an owner over a network stream or an in-process one. */
@@ -21,8 +31,8 @@
   readonly instance: string
   readonly #stream: PeerStream
   lastMessageAt: number
-  /** Ids of lingering jobs that were sent last, joined; unchanged ids are not sent again. */
-  lastSentLingering = ''
+  /** Whether a heartbeat was sent on the connection. */
+  hasHeartbeat = false
   lastSentConfigurationVersion = 0
 
   constructor (hello: HelloMessage, stream: PeerStream, now: number) {
@@ -49,25 +59,32 @@
   readonly #clock: Clock
   readonly #relay: ConfigurationRelay
   readonly #dispatchers = new Map<string, Dispatcher>()
+  readonly #heartbeats = new Map<string, HeartbeatSource>()
   /** Connections with the domain of their dispatcher. */
   readonly #connections = new Map<StreamConnection, string>()
-  #cancelTimeoutCheck: (() => void) | undefined
+  readonly #cancelTimers: ReadonlyArray<() => void>
+  #lastHeartbeatAt = -Infinity
 
   constructor (incarnation: string, clock: Clock, relay: ConfigurationRelay) {
     super()
     this.#incarnation = incarnation
     this.#clock = clock
     this.#relay = relay
-    this.#scheduleTimeoutCheck()
+    this.#cancelTimers = [
+      startPeriodicTimer(clock, timeoutCheckIntervalMs, () => { this.#closeSilentConnections() }),
+      startPeriodicTimer(clock, heartbeatIntervalMs, () => { this.#sendHeartbeats() })
+    ]
   }
 
   addDispatcher (dispatcher: Dispatcher): void {
     this.#dispatchers.set(dispatcher.domain, dispatcher)
+    this.#heartbeats.set(dispatcher.domain, new HeartbeatSource(dispatcher))
   }
 
   /** Closes the connections of a dispatcher that has stopped, so that its owners connect to its successor. */
   removeDispatcher (dispatcher: Dispatcher, reason: string): void {
     this.#dispatchers.delete(dispatcher.domain)
+    this.#heartbeats.delete(dispatcher.domain)
     for (const [connection, domain] of [...this.#connections]) {
       if (domain !== dispatcher.domain) continue
       connection.send({ type: 'stopped' })
@@ -150,7 +167,7 @@
   }
 
   close (): void {
-    this.#cancelTimeoutCheck?.()
+    for (const cancel of this.#cancelTimers) cancel()
     for (const connection of [...this.#connections.keys()]) connection.close('the instance stops')
   }
 
@@ -175,15 +192,33 @@
       return
     }
     dispatcher.enqueueMessage(connection, message)
-    if (message.type === 'ping') this.#sendPong(connection, dispatcher, message.configurationVersion)
+    if (message.type === 'ping') this.#sendPong(connection, dispatcher)
+    if (message.type === 'ping' || message.type === 'heartbeat-reply') this.#sendConfiguration(connection, message.configurationVersion)
+  }
+
+  #sendHeartbeats (): void {
+    const now = this.#clock.now()
+    const isLargeFleet = this.#connections.size > largeFleetOwners
+    if (this.#dispatchers.size === 0 || (isLargeFleet && now - this.#lastHeartbeatAt < largeFleetHeartbeatIntervalMs - heartbeatIntervalMs / 2)) return
+    this.#lastHeartbeatAt = now
+    for (const [domain, source] of this.#heartbeats) this.#sendHeartbeat(domain, source, now)
+  }
+
+  #sendHeartbeat (domain: string, source: HeartbeatSource, now: number): void {
+    const heartbeat = source.createNext(now, this.#relay.version)
+    for (const [connection, connectedDomain] of this.#connections) {
+      if (connectedDomain !== domain) continue
+      connection.send(connection.hasHeartbeat ? heartbeat : source.completeForNewOwner(heartbeat))
+      connection.hasHeartbeat = true
+    }
   }
 
-  #sendPong (connection: StreamConnection, dispatcher: Dispatcher, configurationVersion: number): void {
-    const lingering = dispatcher.listLingering()
-    const text = lingering.join()
-    const isChanged = text !== connection.lastSentLingering
-    connection.lastSentLingering = text
-    connection.send({ type: 'pong', sentAt: this.#clock.now(), load: dispatcher.summarizeLoad(), configurationVersion: this.#relay.version, ...(isChanged ? { lingering } : {}) })
+  #sendPong (connection: StreamConnection, dispatcher: Dispatcher): void {
+    connection.send({ type: 'pong', sentAt: this.#clock.now(), load: dispatcher.summarizeLoad(), configurationVersion: this.#relay.version, lingering: dispatcher.listLingering() })
+  }
+
+  /** Sends the configuration in force to an owner that has an older one, once for each version. */
+  #sendConfiguration (connection: StreamConnection, configurationVersion: number): void {
     const { current } = this.#relay
     if (current === undefined || configurationVersion >= current.version || connection.lastSentConfigurationVersion === current.version) return
     connection.lastSentConfigurationVersion = current.version
@@ -196,11 +231,8 @@
     if (domain !== undefined) this.#dispatchers.get(domain)?.removeOwner(connection)
   }
 
-  #scheduleTimeoutCheck (): void {
-    this.#cancelTimeoutCheck = this.#clock.startTimer(timeoutCheckIntervalMs, () => {
-      this.#scheduleTimeoutCheck()
-      const now = this.#clock.now()
-      for (const connection of [...this.#connections.keys()]) if (now - connection.lastMessageAt > heartbeatTimeoutMs) connection.close('silent')
-    })
+  #closeSilentConnections (): void {
+    const now = this.#clock.now()
+    for (const connection of [...this.#connections.keys()]) if (now - connection.lastMessageAt > heartbeatTimeoutMs) connection.close('silent')
   }
 }
