--- a/packages/coordination/src/clock.ts
+++ b/packages/coordination/src/clock.ts
@@ -16,14 +16,22 @@
   abstract startTimer (delayMs: number, callback: () => void): () => void
 }
 
-/** Clock that uses the monotonic clock and the timers of the process. */
+/**
+ * Clock that uses the monotonic clock and the timers of the process. Callbacks run after the event loop
+ * has read all sockets, so that a process that was busy doesn't take messages that it has not read yet
+ * for missing ones.
+ */
 export class SystemClock extends Clock {
   override now (): number {
     return performance.now()
   }
 
   override startTimer (delayMs: number, callback: () => void): () => void {
-    const timer = setTimeout(callback, delayMs)
-    return () => { clearTimeout(timer) }
+    let immediate: NodeJS.Immediate | undefined
+    const timer = setTimeout(() => { immediate = setImmediate(callback) }, delayMs)
+    return () => {
+      clearTimeout(timer)
+      clearImmediate(immediate)
+    }
   }
 }
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -65,7 +65,7 @@
   constructor (client: Client, sendTimeoutMs: number, replyTimeoutMs: number) {
     this.#client = client
     this.result = new Promise(resolve => { this.#resolveResult = resolve })
-    this.#replyTimer = setTimeout(() => { this.#onTimeout('no reply', replyTimeoutMs) }, replyTimeoutMs)
+    this.#replyTimer = setTimeout(() => { this.#endUnlessReceived('no reply', replyTimeoutMs) }, replyTimeoutMs)
     if (sendTimeoutMs < replyTimeoutMs) {
       this.#sendTimer = setTimeout(() => { if (!this.#isSent) this.#onTimeout('no connection', sendTimeoutMs) }, sendTimeoutMs)
     }
@@ -111,6 +111,11 @@
     this.#fail(error.message, false)
   }
 
+  /** Ends the exchange after the event loop has read all sockets: while this process was busy, the reply may have arrived. */
+  #endUnlessReceived (missing: string, afterMs: number): void {
+    setImmediate(() => { if (!this.#isFinished) this.#onTimeout(missing, afterMs) })
+  }
+
   #onTimeout (missing: string, afterMs: number): void {
     this.#fail(`${missing} within ${Math.round(afterMs)} ms`, this.#isSent && !this.#responseStarted)
     this.#client.destroy().catch(() => {})
