Start no task under a lease that lasts beyond the repeat of its job

Callers could see: a task ran twice, its first run at a target whose lease had been extended for other runs just before its owner and then its dispatcher were lost. Cause: a lease belongs to a target, and the limit of a job was compared only with the start order's own window. Change: the latest lease end that was granted at a target is compared with the limit of the job before a start. Leases are computed from the lower bound of the target's clock and are 70 ms shorter than the target allows, so that in calm times they end within the limit of every job; heartbeats that owners answer at once keep that limit fresh. The test of the slowest clock no longer passes the send time of the poll, which the clock does not use any more; what it checks is unchanged.

--- a/packages/emulator/test/run-lifetime.test.ts
+++ b/packages/emulator/test/run-lifetime.test.ts
@@ -80,7 +80,7 @@
     assert.deepEqual(fleet.history.listViolations(), [])
   })
 
-  it('starts no task of a lost instance under a lease of its target that lasts beyond the repeat of the job', { todo: 'KNOWN-RED.txt, issue 19' }, async () => {
+  it('starts no task of a lost instance under a lease of its target that lasts beyond the repeat of the job', async () => {
     const fleet = await startFleet()
     const holder = fleet.findDispatchingInstance('a')!
     const [other, lost] = fleet.listInstances('a').filter(instance => instance !== holder)
--- a/packages/fleet/src/target-clock.ts
+++ b/packages/fleet/src/target-clock.ts
@@ -4,7 +4,6 @@
 export class TargetClock {
   #clockMs: number | undefined
   #receivedAt = 0
-  #sentAt = 0
   /** Latest lease end that any order has requested, on the target's clock. */
   #latestLeaseEnd = -Infinity
 
@@ -12,13 +11,11 @@
    * Records the clock in a reply, unless a reply that was received later is recorded already.
    *
    * @param clockMs - the target's clock when it replied
-   * @param sentAt - local monotonic time at which the request was sent
    * @param receivedAt - local monotonic time at which the reply arrived
    */
-  recordReply (clockMs: number, sentAt: number, receivedAt: number): void {
+  recordReply (clockMs: number, receivedAt: number): void {
     if (this.#clockMs !== undefined && receivedAt < this.#receivedAt) return
     this.#clockMs = clockMs
-    this.#sentAt = sentAt
     this.#receivedAt = receivedAt
   }
 
@@ -36,13 +33,11 @@
 
   /**
    * @param limitAt - local time by which the lease must have ended, even if the target's clock is slow
-   * @returns the end, on the target's clock, of a lease of `leaseMs` that begins when the order
-   *   arrives; undefined before the first reply and when the limit has passed
+   * @returns the end, on the target's clock, of a lease of at most `leaseMs` from now; undefined before the first reply and when the limit has passed
    */
   computeLeaseEnd (now: number, leaseMs: number, limitAt = Infinity): number | undefined {
     if (this.#clockMs === undefined || limitAt <= now) return undefined
-    const longest = Math.ceil(this.#clockMs + (now - this.#sentAt) + leaseMs)
-    return Math.min(longest, this.estimateLowerBound(now)! + Math.floor((limitAt - now) * slowestClockRate))
+    return this.estimateLowerBound(now)! + Math.floor(Math.min(leaseMs, (limitAt - now) * slowestClockRate))
   }
 
   /** Records a lease end that an order requests, whether or not the order arrives. */
@@ -50,6 +45,12 @@
     this.#latestLeaseEnd = Math.max(this.#latestLeaseEnd, leaseEnd)
   }
 
+  /** @returns the local time by which every lease has ended for certain, even if the target's clock is slow */
+  computeLatestLeaseEndAt (): number {
+    if (this.#clockMs === undefined) return -Infinity
+    return this.#receivedAt + (this.#latestLeaseEnd - this.#clockMs) / slowestClockRate
+  }
+
   /** @returns whether every lease has ended for certain, even if the target's clock is slow */
   haveAllLeasesExpired (now: number): boolean {
     const lower = this.estimateLowerBound(now)
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -18,6 +18,12 @@
 /** Time in milliseconds within which a start order must reach the target, and for which it extends leases there; a later one is refused. */
 export const startWindowMs = 300
 
+/**
+ * Time in milliseconds by which leases are shorter than the target allows, so that a lease that was just
+ * extended ends within the limit of a job whose owner was heard of two heartbeats ago.
+ */
+const leaseReserveMs = 70
+
 /** Fraction of the longest lease that a poll may wait, so that two polls fit into a lease. */
 const pollWaitFraction = 0.45
 
@@ -97,6 +103,9 @@
   /** @returns monotonic local time in milliseconds of the newest view of the target */
   get lastViewAt (): number { return this.#lastViewAt }
 
+  /** @returns monotonic local time in milliseconds by which all leases that were granted here have ended */
+  get leasesEndAt (): number { return this.#targetClock.computeLatestLeaseEndAt() }
+
   /** @returns the capacity that is not reserved for runs of known demand */
   get freeCapacity (): Demand {
     return this.#reserved.computeFree(this.#info.capacity)
@@ -220,7 +229,7 @@
     const sentAt = this.#clock.now()
     // Polls of an unresponsive target extend no leases: over a path that works in one direction only, they
     // would keep runs alive whose ends cannot be seen.
-    const leaseUntil = this.#silent ? undefined : this.#targetClock.computeLeaseEnd(sentAt, this.#limits.maxLeaseMs, this.#observer.getLeaseLimit(this))
+    const leaseUntil = this.#silent ? undefined : this.#targetClock.computeLeaseEnd(sentAt, this.#limits.maxLeaseMs - leaseReserveMs, this.#observer.getLeaseLimit(this))
     if (leaseUntil !== undefined) this.#targetClock.recordLeaseEnd(leaseUntil)
     const reply = await this.#connection.poll({ token: this.#readToken(), lastSeenEnd: this.#lastSeenEnd, waitMs, ...(leaseUntil === undefined ? {} : { leaseUntil }) }, waitMs + pollTimeoutMs)
     if (this.#closed) return false
@@ -265,7 +274,7 @@
     this.#bornMs = view.bornMs ?? this.#bornMs
     // An earlier session with this incarnation, or with one before it, may have left orders unanswered.
     if (isFirstOfIncarnation) this.#blockUnansweredOrders(now)
-    this.#targetClock.recordReply(view.clockMs, sentAt, now)
+    this.#targetClock.recordReply(view.clockMs, now)
     this.#lastViewAt = now
     this.#processEnds(view)
     this.#processRunning(view, now)
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -57,15 +57,20 @@
     }
   }
 
-  /** A start order also extends the leases of the target's other runs, so the target must not have one whose owner may be lost. */
+  /**
+   * A start order also extends the leases of the target's other runs, so the target must not have one whose
+   * owner may be lost. A lease belongs to the target, so the task may last until the latest one that was granted there.
+   */
   #pickTarget (job: DispatchedJob, task: TaskRecord, candidates: readonly SessionCandidate[], now: number): SessionCandidate | undefined {
     const countRunsOfStep = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.stepIndex)
+    const runLimit = this.#state.computeRunLimit(job)
     let usable = candidates
     for (;;) {
       const target = pickTarget(usable, job.spec.service, job.getStep(task), countRunsOfStep, this.#remoteFactor)
       if (target === undefined) return undefined
       // A start in this round may have made the target unusable.
-      if (target.session.isUsable(now) && this.#state.computeLeaseLimit(target.session) >= now + startWindowMs) return target
+      const isWithinLimit = target.session.leasesEndAt <= runLimit && this.#state.computeLeaseLimit(target.session) >= now + startWindowMs
+      if (isWithinLimit && target.session.isUsable(now)) return target
       usable = usable.filter(candidate => candidate !== target)
     }
   }
--- a/packages/fleet/test/decisions.test.ts
+++ b/packages/fleet/test/decisions.test.ts
@@ -155,7 +155,7 @@
 describe('leases', () => {
   it('count as expired only when they have expired on the slowest possible clock', () => {
     const clock = new TargetClock()
-    clock.recordReply(10_000, 0, 1)
+    clock.recordReply(10_000, 1)
     clock.recordLeaseEnd(11_000)
     assert.equal(clock.haveAllLeasesExpired(1_010), false)
     assert.equal(clock.haveAllLeasesExpired(1_030), true)
