Let only dispatchers and named successors follow the list of targets; decode changed rows only

Cause: each instance read every change of the targets' table and decoded all rows anew with each batch.

Change: the holders of the domains and the successors that their rows name follow the table as before; the other instances read it each 10 s, and at once when they become a dispatcher. A list counts as complete only after this instance has followed it for 3 s, by when all runs at targets that it has missed have ended; before, the time counted from the first list. Rows are decoded when their revision changes.

The test of a vanished draining target now follows the list and gives the changed row a new revision, as the store does; what it checks is unchanged.

--- a/packages/fleet/src/dispatcher-election.ts
+++ b/packages/fleet/src/dispatcher-election.ts
@@ -98,12 +98,13 @@
 
   /** Stops dispatchers whose row names another holder with a higher token, and refreshes all connections. */
   onDirectoryChanged (): void {
-    const { directory, self, server } = this.#options
+    const { directory, self, server, targets } = this.#options
     for (const dispatcher of server.listDispatchers()) {
       const entry = directory.findDispatcher(dispatcher.domain)
       if (entry === undefined || entry.incarnation === self.incarnation) continue
       if (entry.revision * tokensPerRevision > dispatcher.token) this.#stopDispatcher(dispatcher, `the row names ${entry.instance}`)
     }
+    targets.setFollowing(this.#isNamedInRows())
     for (const connection of this.#connections.values()) connection.refresh()
   }
 
@@ -155,6 +156,15 @@
     else if (candidacy === 'take-over-without-store') this.#becomeDispatcher(domain, entry!.revision * tokensPerRevision + successor + 1, 'without-store')
   }
 
+  /** @returns whether the row of a domain names this instance as the holder or as a successor */
+  #isNamedInRows (): boolean {
+    const { directory, self } = this.#options
+    return [...this.#connections.keys()].some(domain => {
+      const entry = directory.findDispatcher(domain)
+      return entry !== undefined && [entry, ...entry.successors].some(({ incarnation }) => incarnation === self.incarnation)
+    })
+  }
+
   #beginClaim (domain: string, reason: string): void {
     if (this.#pendingClaims.has(domain)) return
     this.#pendingClaims.add(domain)
--- a/packages/fleet/src/table-watch.ts
+++ b/packages/fleet/src/table-watch.ts
@@ -16,6 +16,8 @@
   readonly relistIntervalMs: number
   /** Pause in milliseconds after each successful call, so that one reply carries many changes; 0 for none. */
   readonly batchingPauseMs: number
+  /** Interval in milliseconds between two full reads while the table is not followed; a table without it is always followed. */
+  readonly idleListIntervalMs?: number
   /** Source of the retry jitter, from 0 to 1; defaults to `Math.random`. */
   readonly random?: () => number
 }
@@ -44,6 +46,7 @@
   #failingSince: number | undefined
   /** Clock time at which the copy was last known to be current. */
   #currentAt = -Infinity
+  #isFollowing: boolean
   #closed = false
   #cancelPause: (() => void) | undefined
 
@@ -55,6 +58,14 @@
     this.#clock = clock
     this.#log = log
     this.#observer = observer
+    this.#isFollowing = options.idleListIntervalMs === undefined
+  }
+
+  /** Begins or stops to watch for changes; in between, the table is only listed at the idle interval. */
+  setFollowing (isFollowing: boolean): void {
+    if (this.#isFollowing === isFollowing || this.#options.idleListIntervalMs === undefined) return
+    this.#isFollowing = isFollowing
+    if (isFollowing) this.#cancelPause?.()
   }
 
   /** @returns milliseconds since the copy was last known to be current; `Infinity` before the first list */
@@ -79,7 +90,7 @@
   async #run (): Promise<void> {
     while (!this.#closed) {
       const sentAt = this.#clock.now()
-      const isListDue = this.#revision === undefined || sentAt - this.#listedAt >= this.#options.relistIntervalMs
+      const isListDue = !this.#isFollowing || this.#revision === undefined || sentAt - this.#listedAt >= this.#options.relistIntervalMs
       const failure = isListDue ? await this.#list(sentAt) : await this.#watch(this.#revision!, sentAt)
       if (this.#closed) return
       if (failure === undefined) await this.#handleSuccess()
@@ -145,7 +156,8 @@
   async #handleSuccess (): Promise<void> {
     this.#backoff.reset()
     if (this.#failingSince === undefined) {
-      if (this.#options.batchingPauseMs > 0) await this.#pause(this.#options.batchingPauseMs)
+      const pauseMs = this.#isFollowing ? this.#options.batchingPauseMs : this.#options.idleListIntervalMs ?? 0
+      if (pauseMs > 0) await this.#pause(pauseMs)
       return
     }
     this.#log.log('belief', 'store-regained', { table: this.#table, afterMs: Math.round(this.#clock.now() - this.#failingSince), revision: this.#revision ?? 0 })
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -11,6 +11,12 @@
 /** Interval in milliseconds between two full reads of the list of targets. */
 const relistIntervalMs = 5_000
 
+/**
+ * Interval in milliseconds between two full reads by an instance that neither dispatches nor is a named
+ * successor. Within the store's history, so that it can go on from there.
+ */
+const idleListIntervalMs = 10_000
+
 /**
  * Time in milliseconds for which a target without an entry stays in use if it answers: entries
  * that expired during a store outage come back within about this time after it.
@@ -20,7 +26,10 @@
 /** Time in milliseconds for which a target that disappeared may still have runs; also a draining one may only have lost its path to the store. */
 const vanishedTargetRetentionMs = 30_000
 
-/** Time in milliseconds after the first list within which expired entries come back. */
+/**
+ * Time in milliseconds after this instance began to follow the list within which expired entries come back, and
+ * all runs at targets that it has missed end.
+ */
 const listSettlingMs = 3_000
 
 /** Decodes the platform's row of a target; returns undefined when the row describes no usable target. */
@@ -42,7 +51,9 @@
   readonly #unreadable = new Set<string>()
   /** Monotonic time in milliseconds at which targets disappeared, by domain and id. */
   readonly #vanishedAt = new Map<string, Map<string, number>>()
-  #firstListAt: number | undefined
+  /** Decoded rows by key, with the revisions of the rows. */
+  readonly #decoded = new Map<string, { readonly revision: number, readonly target: TargetInfo | undefined }>()
+  #followedSince: number | undefined
   #watch: TableWatch | undefined
   #targets: ReadonlyMap<string, TargetInfo> = new Map()
   #cancelExpiry: (() => void) | undefined
@@ -55,7 +66,7 @@
     this.#decode = decode
     this.#clock = clock
     this.#log = log
-    this.#createWatch = () => new TableWatch(store, table, { relistIntervalMs, batchingPauseMs: watchPauseMs, random }, clock, log, this)
+    this.#createWatch = () => new TableWatch(store, table, { relistIntervalMs, batchingPauseMs: watchPauseMs, idleListIntervalMs, random }, clock, log, this)
   }
 
   /** @returns milliseconds since the list was last known to be current; infinite before the first list */
@@ -66,6 +77,7 @@
   /** Starts to watch the list. */
   start (): void {
     this.#watch = this.#createWatch()
+    if (this.#followedSince !== undefined) this.#watch.setFollowing(true)
     this.#watch.start()
   }
 
@@ -74,6 +86,17 @@
     this.#cancelExpiry?.()
   }
 
+  /**
+   * Begins or stops to follow every change of the list. Targets write their rows often, so that only the
+   * instances that dispatch, or may have to at once, follow them.
+   */
+  setFollowing (isFollowing: boolean): void {
+    const mustFollow = isFollowing || this.#dispatchers.size > 0
+    if (mustFollow) this.#followedSince ??= this.#clock.now()
+    else this.#followedSince = undefined
+    this.#watch?.setFollowing(mustFollow)
+  }
+
   listTargets (domain: string): readonly TargetInfo[] {
     return [...this.#targets.values()].filter(target => target.domain === domain)
   }
@@ -81,18 +104,19 @@
   /**
    * Tells whether the list names every target of a domain that may hold runs.
    *
-   * @returns false before and shortly after the first list, and while targets that disappeared may
+   * @returns false before this instance has followed the list for a while, and while targets that disappeared may
    *   still have runs
    */
   isComplete (domain: string): boolean {
     const now = this.#clock.now()
-    if (this.#firstListAt === undefined || now - this.#firstListAt < listSettlingMs) return false
+    if (this.#followedSince === undefined || now - this.#followedSince < listSettlingMs) return false
     const vanished = this.#vanishedAt.get(domain)
     return vanished === undefined || [...vanished.values()].every(at => now - at > vanishedTargetRetentionMs)
   }
 
   addDispatcher (dispatcher: Dispatcher): void {
     this.#dispatchers.add(dispatcher)
+    this.setFollowing(true)
     // A new dispatcher may trust only a list that is not older than itself.
     this.#watch?.relist()
     dispatcher.updateTargets(this.listTargets(dispatcher.domain))
@@ -104,7 +128,7 @@
 
   override onRows (rows: ReadonlyMap<string, StoreRow>): void {
     const targets = new Map<string, TargetInfo>()
-    this.#firstListAt ??= this.#clock.now()
+    for (const key of this.#decoded.keys()) if (!rows.has(key)) this.#decoded.delete(key)
     for (const row of rows.values()) this.#addRow(row, targets)
     this.#recordVanished(targets)
     this.#retainMissing(targets)
@@ -113,7 +137,7 @@
   }
 
   #addRow (row: StoreRow, targets: Map<string, TargetInfo>): void {
-    const target = this.#decode(row)
+    const target = this.#decodeOnce(row)
     if (target !== undefined) {
       targets.set(target.id, target)
       this.#unreadable.delete(row.key)
@@ -124,6 +148,14 @@
     this.#log.log('belief', 'target-row-unreadable', { target: row.key, revision: row.revision })
   }
 
+  #decodeOnce (row: StoreRow): TargetInfo | undefined {
+    const known = this.#decoded.get(row.key)
+    if (known?.revision === row.revision) return known.target
+    const target = this.#decode(row)
+    this.#decoded.set(row.key, { revision: row.revision, target })
+    return target
+  }
+
   #recordVanished (targets: ReadonlyMap<string, TargetInfo>): void {
     const now = this.#clock.now()
     for (const [id, target] of this.#targets) {
--- a/packages/fleet/test/vanished-draining-target-completes-list.test.ts
+++ b/packages/fleet/test/vanished-draining-target-completes-list.test.ts
@@ -6,7 +6,7 @@
 const info: TargetInfo = { id: 't', address: 't', service: 's', domain: 'a', draining: false, capacity: { processors: 32_000, memoryMb: 100, accelerators: 0 }, labels: [], revision: 1 }
 
 function createRows (...targets: readonly TargetInfo[]): ReadonlyMap<string, StoreRow> {
-  return new Map(targets.map(target => [target.id, { key: target.id, value: JSON.stringify(target), revision: 1 }]))
+  return new Map(targets.map(target => [target.id, { key: target.id, value: JSON.stringify(target), revision: target.revision }]))
 }
 
 /**
@@ -19,9 +19,10 @@
     const clock = new ManualClock()
     const list = new TargetList({} as unknown as MetadataStore, 'targets', row => JSON.parse(row.value!) as TargetInfo, clock, new NoopLog())
     const other = { ...info, id: 'u' }
+    list.setFollowing(true)
     list.onRows(createRows(info, other))
     await clock.advance(40_000)
-    list.onRows(createRows({ ...info, draining: true }, other))
+    list.onRows(createRows({ ...info, draining: true, revision: 2 }, other))
     await clock.advance(500)
     assert.equal(list.isComplete('a'), true)
     list.onRows(createRows(other))
