Answer each of two cancellations of one job

Callers saw: of two cancellations of one job at the same time, the first was answered after its timeout, as not found. Cause: replies were awaited by job and domain, so the second cancellation replaced the first. Test: job-owner 'reports a found job to each of two callers ...', failed before.

--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -27,6 +27,13 @@
   readonly abandon: (reason: string) => void
 }
 
+/** A cancellation that waits for the reply of one dispatcher. */
+interface PendingCancellation {
+  readonly jobId: string
+  readonly domain: string
+  readonly finish: (found: boolean) => void
+}
+
 export interface JobOwnerOptions {
   readonly homeDomain: string
   readonly clock: Clock
@@ -45,7 +52,7 @@
   readonly #options: JobOwnerOptions
   readonly #connections = new Map<string, DispatcherConnection>()
   readonly #jobs = new Map<string, OwnedJob>()
-  readonly #pendingCancellations = new Map<string, Map<string, (found: boolean) => void>>()
+  readonly #pendingCancellations = new Set<PendingCancellation>()
   readonly #onHandOver: (domain: string, successor: string) => void
   #lastSubmissionId = 0
   readonly #cancelTick: () => void
@@ -147,7 +154,7 @@
       case 'ended': this.#handleEnded(connection, message); break
       case 'rejected': this.#handleRejection(connection, message); break
       case 'withdrawn': this.#handleWithdrawn(connection, message); break
-      case 'cancelled-any': this.#pendingCancellations.get(message.jobId)?.get(connection.domain)?.(message.found); break
+      case 'cancelled-any': this.#endCancellations(connection.domain, message.jobId, message.found); break
       case 'hand-over': this.#onHandOver(connection.domain, message.successor); break
       default:
     }
@@ -255,20 +262,25 @@
   /** @returns whether the dispatcher knew the job; false after the timeout */
   async #cancelAt (connection: DispatcherConnection, jobId: string, timeoutMs: number): Promise<boolean> {
     return await new Promise<boolean>(resolve => {
-      const pending = this.#pendingCancellations.get(jobId) ?? new Map<string, (found: boolean) => void>()
-      this.#pendingCancellations.set(jobId, pending)
       const finish = (found: boolean): void => {
         cancelTimer()
-        pending.delete(connection.domain)
-        if (pending.size === 0) this.#pendingCancellations.delete(jobId)
+        this.#pendingCancellations.delete(pending)
         resolve(found)
       }
       const cancelTimer = this.#options.clock.startTimer(timeoutMs, () => { finish(false) })
-      pending.set(connection.domain, finish)
+      const pending = { jobId, domain: connection.domain, finish }
+      this.#pendingCancellations.add(pending)
       connection.send({ type: 'cancel-any', jobId })
     })
   }
 
+  /** A reply ends all cancellations of the job: the dispatcher that found it has dropped it for all of them. */
+  #endCancellations (domain: string, jobId: string, found: boolean): void {
+    for (const pending of [...this.#pendingCancellations]) {
+      if (pending.domain === domain && pending.jobId === jobId) pending.finish(found)
+    }
+  }
+
   #abandon (job: OwnedJob, waiter: (answer: JobAnswer) => void, reason: string): void {
     job.removeWaiter(waiter)
     if (job.waiterCount > 0 || this.#jobs.get(job.spec.id) !== job) return
--- a/packages/fleet/test/job-owner.test.ts
+++ b/packages/fleet/test/job-owner.test.ts
@@ -4,6 +4,18 @@
 import { createOwner, FakeConnection, spec } from './owner-fixture.js'
 
 describe('JobOwner', () => {
+  it('reports a found job to each of two callers that cancel it at the same time', async () => {
+    const clock = new ManualClock()
+    const home = new FakeConnection('a')
+    const owner = createOwner(clock, [home])
+    const replies = Promise.all([owner.cancel(spec.id, 1_000), owner.cancel(spec.id, 1_000)])
+    owner.onDispatcherMessage(home.asConnection(), { type: 'cancelled-any', jobId: spec.id, found: true })
+    owner.onDispatcherMessage(home.asConnection(), { type: 'cancelled-any', jobId: spec.id, found: false })
+    await clock.advance(1_100)
+    assert.deepEqual(await replies, [true, true])
+    owner.close()
+  })
+
   it('answers "unknown", not "rejected", if a lost dispatcher may have started the job and all others have rejected it', async () => {
     const clock = new ManualClock()
     const [home, other] = [new FakeConnection('a'), new FakeConnection('b')]
