Predict waits from the work that the targets do in an overload

Load pattern: a lasting overload of short tasks. A target's slot is idle from the end of a run until the end was seen and the next order has arrived, which takes as long as a short task over a busy dispatcher or a full link.

Change: while jobs wait and three quarters of the processors are taken, the finished work of each 200 ms against the nominal throughput gives a moving average that takes the place of the constant 0.85; it returns to that afterwards.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -1,9 +1,11 @@
 import { type Clock } from '@sesamereel/coordination'
+import { DispatchEfficiency } from './dispatch-efficiency.js'
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { type EventLog, type LogFields } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
 import { type JobOutcome, parseTaskName, type RejectionReason, type TaskName } from './job-types.js'
-import { type DispatcherMessage } from './messages.js'
+import { estimateNominalThroughput, summarizeLoad } from './load-estimates.js'
+import { type DispatcherMessage, type LoadSummary } from './messages.js'
 import { OwnerRegistry } from './owner-registry.js'
 import { type FleetLimits } from './limits.js'
 import { type Run } from './run.js'
@@ -77,6 +79,7 @@
   readonly #secondRuns = new Map<string, readonly ActiveRun[]>()
   readonly owners = new OwnerRegistry()
   readonly unclaimedRuns: UnclaimedRuns
+  readonly #efficiency = new DispatchEfficiency()
   readonly #clock: Clock
   readonly #limits: FleetLimits
   readonly #log: EventLog
@@ -108,6 +111,22 @@
     this.#log.logError(where, error)
   }
 
+  /** @returns work per millisecond that tasks of a service get, in thousandths of a core; of all services if undefined */
+  estimateThroughput (service: string | undefined): number {
+    return estimateNominalThroughput(this.sessions.values(), service) * this.#efficiency.efficiency
+  }
+
+  /** @returns the load summary that is sent to the owners */
+  summarizeLoad (): LoadSummary {
+    return summarizeLoad(this.sessions.values(), [...this.queue], this.now(), this.#efficiency.efficiency)
+  }
+
+  /** Measures how well the targets are used; called at regular intervals. */
+  measureEfficiency (): void {
+    const { freeProcessors, usableProcessors } = this.summarizeLoad()
+    this.#efficiency.update(this.now(), { queuedJobs: this.queue.size, freeProcessors, usableProcessors, nominalThroughput: estimateNominalThroughput(this.sessions.values(), undefined) })
+  }
+
   findTask (name: string): TaskLookup {
     return this.#findTask(parseTaskName(name))
   }
@@ -204,6 +223,8 @@
 
   /** Records that a task has ended with `done`; the last task of a job completes the job. */
   finishTask (job: DispatchedJob, task: TaskRecord): void {
+    const { estimateMs, demand } = job.getStep(task)
+    this.#efficiency.recordFinished(estimateMs * demand.processors)
     job.markDone(task)
     if (job.isComplete) {
       this.endJob(job, { kind: 'completed' })
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -5,7 +5,6 @@
 import { type FleetMetrics } from './fleet-metrics.js'
 import { JobIntake } from './job-intake.js'
 import { type FleetLimits } from './limits.js'
-import { summarizeLoad } from './load-estimates.js'
 import { type LoadSummary, type OwnerMessage } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
 import { startPeriodicTimer } from './periodic-timer.js'
@@ -157,7 +156,7 @@
 
   /** @returns the load summary that is sent to the owners */
   summarizeLoad (): LoadSummary {
-    return summarizeLoad(this.#state.sessions.values(), [...this.#state.queue], this.#state.now())
+    return this.#state.summarizeLoad()
   }
 
   /**
@@ -293,6 +292,7 @@
   #runMaintenance (): void {
     const now = this.#state.now()
     const { jobs, owners, unclaimedRuns, runs } = this.#state
+    this.#state.measureEfficiency()
     this.#intake.shedQueuedJobs(now)
     this.#tracker.pollStaleTargets(now)
     this.#dropUnlistedTargets()
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -2,7 +2,7 @@
 import { type DispatchState, type ReleaseEvidence } from './dispatch-state.js'
 import { DispatchedJob } from './dispatched-job.js'
 import { type RejectionReason } from './job-types.js'
-import { estimateLoad, estimateThroughput, sumWaitingWork } from './load-estimates.js'
+import { estimateLoad, sumWaitingWork } from './load-estimates.js'
 import { type Submission } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
 import { isEligible } from './placement.js'
@@ -91,11 +91,11 @@
    * example because more urgent jobs came after their admission or targets were lost.
    */
   shedQueuedJobs (now: number): void {
-    const { queue, sessions } = this.#state
+    const { queue } = this.#state
     if (queue.size === 0) return
     const sorted = sortQueue([...queue], now)
     for (const service of new Set(sorted.map(job => job.spec.service))) {
-      const throughput = estimateThroughput(sessions.values(), service)
+      const throughput = this.#state.estimateThroughput(service)
       const jobs = sorted.filter(job => job.spec.service === service)
       for (const { job, waitMs } of selectJobsToShed(jobs, sumWaitingWork, throughput, now)) this.#shedJob(job, waitMs, now)
     }
@@ -191,7 +191,7 @@
     const problem = this.#findPlacementProblem(job)
     if (problem !== undefined) return this.#reject(job, problem, noTargetRetryMs, { targets: sessions.size })
     const now = this.#state.now()
-    const throughput = estimateThroughput(sessions.values(), job.spec.service)
+    const throughput = this.#state.estimateThroughput(job.spec.service)
     const load = estimateLoad(queue, throughput, job)
     // With work ahead of the job, its own tasks start one after the other as capacity becomes free.
     const ownWorkMs = load.workAhead > 0 && throughput > 0 ? sumWaitingWork(job) / throughput : 0
--- a/packages/fleet/src/load-estimates.ts
+++ b/packages/fleet/src/load-estimates.ts
@@ -4,9 +4,6 @@
 import { compareJobs } from './queue-order.js'
 import { type TargetSession } from './target-session.js'
 
-/** Fraction of the processors that tasks can use when their demands do not divide a target's capacity evenly. */
-const packingEfficiency = 0.85
-
 /**
  * Sums the estimated work of the job's tasks that have not started.
  *
@@ -23,19 +20,19 @@
 }
 
 /**
- * Estimates the throughput of the usable targets of a service.
+ * Estimates the throughput of the usable targets of a service if all their processors were in use.
  *
  * @param service - `undefined` for the targets of all services
  * @returns work per millisecond, in thousandths of a core
  */
-export function estimateThroughput (sessions: Iterable<TargetSession>, service: string | undefined): number {
+export function estimateNominalThroughput (sessions: Iterable<TargetSession>, service: string | undefined): number {
   let processors = 0
   for (const session of sessions) {
     if (service !== undefined && session.info.service !== service) continue
     if (!session.isSeen || session.isSilent || session.info.draining || session.health.isOnProbation) continue
     processors += session.info.capacity.processors / session.health.slowness
   }
-  return processors * packingEfficiency
+  return processors
 }
 
 /**
@@ -54,8 +51,10 @@
 
 /**
  * Summarizes the load for the owners, which use it to choose a domain.
+ *
+ * @param efficiency - fraction of the nominal throughput that tasks get
  */
-export function summarizeLoad (sessions: Iterable<TargetSession>, queue: readonly DispatchedJob[], now: number): LoadSummary {
+export function summarizeLoad (sessions: Iterable<TargetSession>, queue: readonly DispatchedJob[], now: number, efficiency: number): LoadSummary {
   const list = [...sessions]
   let free = 0
   let usable = 0
@@ -66,7 +65,7 @@
     free += session.freeCapacity.processors
     largest = Math.max(largest, session.freeCapacity.processors)
   }
-  const throughput = estimateThroughput(list, undefined)
+  const throughput = estimateNominalThroughput(list, undefined) * efficiency
   const work = queue.reduce((sum, job) => sum + sumWaitingWork(job), 0)
   const waitMs = work === 0 ? 0 : throughput > 0 ? work / throughput : 60_000
   return { freeProcessors: free, usableProcessors: usable, waitMs: Math.round(waitMs), queuedJobs: queue.length, largestFree: largest }
