Count the deadline of a start order from the reading of the clock by which it was decided

Callers could see: a task started twice; a dispatcher that was paused between the check of a start and its order sent an order that its target still carried out, while a successor had started the task elsewhere. Cause: the scheduling round checked the limits by one reading of the clock, and the session computed the deadline from a later. Test: paused-between-check-and-start pauses before each reading of the clock in turn; two of twelve failed before (deadline 4338 for a check at 1100).

--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -134,9 +134,13 @@
       this.#unknownDemandRunCount === 0 && this.#unansweredRunCount === 0 && this.#unblockedOrderCount === 0 && this.health.isStartAllowed(now, this.runs.size)
   }
 
-  /** Reserves capacity and sends the order to start a run; the result is reported to the observer. */
-  startRun (task: string, attempt: number, payload: string, demand: Demand): Run {
-    const now = this.#clock.now()
+  /**
+   * Reserves capacity and sends the order to start a run; the result is reported to the observer.
+   *
+   * @param now - the reading of the clock by which the start was decided; the order's deadline counts from it, so
+   *   that the order is refused if the process was paused since
+   */
+  startRun (task: string, attempt: number, payload: string, demand: Demand, now = this.#clock.now()): Run {
     const startDeadlineMs = (this.#targetClock.estimateLowerBound(now) ?? 0) + startWindowMs
     const run: Run = { task, name: parseTaskName(task), attempt, demand, state: 'starting', sentAt: now, acceptedAt: undefined, stopAcceptedAt: undefined, startDeadlineMs, unanswered: false, unconfirmed: false, percent: 0, progressAt: now, stopSentAt: -Infinity }
     this.runs.set(formatRunKey(task, attempt), run)
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -52,7 +52,7 @@
       if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex)) continue
       const key = formatDemandKey(job.spec.service, job.getStep(task))
       const target = fullFor.has(key) ? undefined : this.#pickTarget(job, task, candidates, now)
-      if (target !== undefined) this.#startTask(job, task, target.session)
+      if (target !== undefined) this.#startTask(job, task, target.session, now)
       else if (job.getStep(task).maxPerTarget === undefined) fullFor.add(key)
     }
   }
@@ -75,13 +75,13 @@
     }
   }
 
-  #startTask (job: DispatchedJob, task: TaskRecord, session: TargetSession): void {
+  #startTask (job: DispatchedJob, task: TaskRecord, session: TargetSession, now: number): void {
     if (!job.started) this.#state.metrics.observeQueueWait(job.predictedWaitMs, this.#state.now() - job.receivedAt)
     task.starts++
     task.state = 'running'
     job.started = true
     const attempt = this.#readToken() * attemptsPerToken + task.starts
-    const run = session.startRun(task.name, attempt, job.spec.payload, job.getStep(task).demand)
+    const run = session.startRun(task.name, attempt, job.spec.payload, job.getStep(task).demand, now)
     this.#state.runs.set(task.name, { session, run })
     this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100 })
   }
