--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -2,11 +2,12 @@
 import { type Demand } from '@sesamereel/state'
 import { parseTaskName } from './job-types.js'
 import { type FleetLimits } from './limits.js'
+import { OrderBlocker, stopRetryMs } from './order-blocker.js'
 import { OrderTimeout } from './order-timeout.js'
 import { PollLoop } from './poll-loop.js'
-import { ReservedCapacity } from './reserved-capacity.js'
 import { formatRunKey, inferLossReason, type LossReason, type Run } from './run.js'
 import { type SessionObserver } from './session-observer.js'
+import { SessionRuns } from './session-runs.js'
 import { TargetClock } from './target-clock.js'
 import { TargetHealth } from './target-health.js'
 import { type PollReply, type TargetConnection, type TargetInfo, type TargetView } from './target-types.js'
@@ -30,12 +31,6 @@
 /** Longest wait in milliseconds of a poll of a target with runs: about the time between two ends of runs there. */
 const maxBusyWaitMs = 150
 
-/** Pause in milliseconds before an unanswered stop order is sent again. */
-const stopRetryMs = 200
-
-/** Number of ended runs that are remembered, so that an older view that arrives late does not make them look new. */
-const maxRememberedEnds = 256
-
 /**
  * A dispatcher's session with one target: the runs there, their leases and the reserved capacity.
  * Capacity stays reserved until the end of a run is listed, its start is ruled out or its lease has
@@ -44,7 +39,7 @@
  */
 export class TargetSession {
   readonly health = new TargetHealth()
-  readonly runs = new Map<string, Run>()
+  readonly #runs = new SessionRuns()
   readonly #connection: TargetConnection
   readonly #readToken: () => number
   readonly #clock: Clock
@@ -60,19 +55,12 @@
   #seen = false
   #silent = false
   #closed = false
-  /** Number of runs whose start orders were not answered. */
-  #unansweredRunCount = 0
   readonly #unansweredOrders: UnansweredOrders
-  /** Number of start orders to earlier incarnations for which no stop order has been answered yet. */
-  #unblockedOrderCount = 0
-  /** Keys of the most recently ended runs, in the order of their ends. */
-  readonly #recentlyEndedKeys = new Set<string>()
+  /** Blocks start orders to earlier incarnations. */
+  readonly #orderBlocker: OrderBlocker
   readonly #pollLoop: PollLoop
   #isPollingNow = false
   #lastViewAt = -Infinity
-  readonly #reserved = new ReservedCapacity()
-  /** Number of runs whose demand is not known; the target counts as full while there are any. */
-  #unknownDemandRunCount = 0
 
   /**
    * @param readToken - returns the dispatcher's current token
@@ -86,11 +74,15 @@
     this.#limits = limits
     this.#observer = observer
     this.#unansweredOrders = unansweredOrders
+    this.#orderBlocker = new OrderBlocker(clock, limits.lateOrderMs, async ({ task, attempt }) => await connection.stop({ task, attempt, token: this.#readToken() }, this.#orderTimeout.timeoutMs))
     this.#pollLoop = new PollLoop(clock, () => this.#chooseWait(), async waitMs => await this.#poll(waitMs))
   }
 
   get info (): TargetInfo { return this.#info }
 
+  /** The runs that exist or may exist at the target, by their keys. */
+  get runs (): ReadonlyMap<string, Run> { return this.#runs.byKey }
+
   /** @returns whether the current incarnation of the target has answered a poll under this dispatcher's token */
   get isSeen (): boolean { return this.#seen }
 
@@ -108,7 +100,7 @@
 
   /** @returns the capacity that is not reserved for runs of known demand */
   get freeCapacity (): Demand {
-    return this.#reserved.computeFree(this.#info.capacity)
+    return this.#runs.computeFree(this.#info.capacity)
   }
 
   /** Applies a newer list entry of the same target. */
@@ -131,7 +123,7 @@
   /** Decides whether new runs may start here, regardless of the capacity that they need. */
   isUsable (now: number): boolean {
     return this.#seen && !this.#silent && !this.#closed && !this.#info.draining &&
-      this.#unknownDemandRunCount === 0 && this.#unansweredRunCount === 0 && this.#unblockedOrderCount === 0 && this.health.isStartAllowed(now, this.runs.size)
+      this.#runs.areCertain && !this.#orderBlocker.isPending && this.health.isStartAllowed(now, this.runs.size)
   }
 
   /**
@@ -143,8 +135,7 @@
   startRun (task: string, attempt: number, payload: string, demand: Demand, now = this.#clock.now()): Run {
     const startDeadlineMs = (this.#targetClock.estimateLowerBound(now) ?? 0) + startWindowMs
     const run: Run = { task, name: parseTaskName(task), attempt, demand, state: 'starting', sentAt: now, acceptedAt: undefined, stopAcceptedAt: undefined, startDeadlineMs, unanswered: false, unconfirmed: false, percent: 0, progressAt: now, stopSentAt: -Infinity }
-    this.runs.set(formatRunKey(task, attempt), run)
-    this.#reserved.add(demand)
+    this.#runs.add(run)
     this.#targetClock.recordLeaseEnd(startDeadlineMs)
     this.#sendStart(run, payload).catch((error: unknown) => { this.#observer.onError(error) })
     return run
@@ -159,10 +150,7 @@
 
   /** Sets the demand of a discovered run and reserves capacity for it. */
   adoptRun (run: Run, demand: Demand): void {
-    if (run.demand !== undefined) return
-    run.demand = demand
-    this.#unknownDemandRunCount--
-    this.#reserved.add(demand)
+    this.#runs.setDemand(run, demand)
   }
 
   /** Polls immediately without a wait, in parallel to a poll that may be waiting. */
@@ -179,7 +167,7 @@
     const now = this.#clock.now()
     if (reply.kind === 'accepted') this.#orderTimeout.record(now - run.sentAt)
     if (reply.kind === 'no-answer') this.#unansweredOrders.record(run)
-    if (this.#closed || !this.#isTracked(run)) return
+    if (this.#closed || !this.#runs.has(run)) return
     switch (reply.kind) {
       case 'accepted':
         if (run.state === 'starting') run.state = 'running'
@@ -189,16 +177,15 @@
         return
       case 'no-answer':
         // The order may still be carried out, until a stop is accepted or its deadline has passed.
-        run.unanswered = true
-        this.#unansweredRunCount++
+        this.#runs.markUnanswered(run)
         this.stopRun(run)
         return
       case 'not-sent':
-        this.#removeRun(run)
+        this.#runs.remove(run)
         this.#observer.onStartRejected(this, run, 'not-sent')
         return
       case 'rejected':
-        this.#removeRun(run)
+        this.#runs.remove(run)
         if (reply.reason === 'superseded') this.#observer.onSuperseded(this)
         else this.#observer.onStartRejected(this, run, reply.reason)
         if (reply.reason === 'late' || reply.reason === 'room') this.pollNow()
@@ -208,7 +195,7 @@
   async #sendStop (run: Run): Promise<void> {
     run.stopSentAt = this.#clock.now()
     const reply = await this.#connection.stop({ task: run.task, attempt: run.attempt, token: this.#readToken() }, this.#orderTimeout.timeoutMs)
-    if (this.#closed || !this.#isTracked(run)) return
+    if (this.#closed || !this.#runs.has(run)) return
     if (reply.kind === 'accepted') {
       run.stopAcceptedAt = this.#clock.now()
       // The end of a run interrupts a waiting poll, but a run that never started has no end.
@@ -294,30 +281,23 @@
       if (end.number <= this.#lastSeenEnd) continue
       this.#lastSeenEnd = end.number
       const key = formatRunKey(end.task, end.attempt)
-      this.#rememberEnd(key)
+      this.#runs.rememberEnd(key)
       const run = this.runs.get(key)
       if (run === undefined) {
         this.#observer.onUnknownRunEnded(this, end.task, end.how)
         continue
       }
-      this.#removeRun(run)
+      this.#runs.remove(run)
       this.#observer.onRunEnded(this, run, end.how)
     }
   }
 
-  #rememberEnd (key: string): void {
-    this.#recentlyEndedKeys.add(key)
-    if (this.#recentlyEndedKeys.size <= maxRememberedEnds) return
-    const [oldest] = this.#recentlyEndedKeys
-    this.#recentlyEndedKeys.delete(oldest!)
-  }
-
   #processRunning (view: TargetView, now: number): void {
     for (const entry of view.running) {
       const key = formatRunKey(entry.task, entry.attempt)
       const run = this.runs.get(key)
       if (run === undefined) {
-        if (this.#recentlyEndedKeys.has(key)) continue
+        if (this.#runs.hasEndedRecently(key)) continue
         this.#addDiscoveredRun(entry.task, entry.attempt, entry.percent, now)
         continue
       }
@@ -332,8 +312,7 @@
 
   #addDiscoveredRun (task: string, attempt: number, percent: number, now: number): void {
     const run: Run = { task, name: parseTaskName(task), attempt, demand: undefined, state: 'running', sentAt: now, acceptedAt: now, stopAcceptedAt: undefined, startDeadlineMs: 0, unanswered: false, unconfirmed: false, percent, progressAt: now, stopSentAt: -Infinity }
-    this.runs.set(formatRunKey(task, attempt), run)
-    this.#unknownDemandRunCount++
+    this.#runs.add(run)
     this.#observer.onRunDiscovered(this, run)
   }
 
@@ -350,7 +329,7 @@
 
   #resetIncarnation (): void {
     this.#lastSeenEnd = 0
-    this.#recentlyEndedKeys.clear()
+    this.#runs.forgetEnds()
     this.#bornMs = undefined
     this.#seen = false
     this.#targetClock.reset()
@@ -371,7 +350,7 @@
   /** Blocks the unanswered orders that belong to no run of this session. */
   #blockUnansweredOrders (now: number): void {
     const orders = this.#unansweredOrders.list(now).filter(order => !this.runs.has(formatRunKey(order.task, order.attempt)))
-    for (const order of orders) this.#blockOrder(order, this.#bornMs).catch((error: unknown) => { this.#observer.onError(error) })
+    for (const order of orders) this.#blockOrder(order).catch((error: unknown) => { this.#observer.onError(error) })
   }
 
   /** Sends the new incarnation the stop order for a run whose start order may reach either incarnation. */
@@ -382,19 +361,9 @@
     this.#sendStop(run).catch((error: unknown) => { this.#observer.onError(error) })
   }
 
-  /**
-   * Sends a stop order for an earlier start order until it is accepted or the order can't arrive any
-   * more, the target restarts again or the session is closed.
-   */
-  async #blockOrder (order: UnansweredOrder, bornMs: number | undefined): Promise<void> {
-    const { task, attempt } = order
-    this.#unblockedOrderCount++
-    while (!this.#closed && this.#bornMs === bornMs && this.#clock.now() - order.sentAt <= this.#limits.lateOrderMs) {
-      const reply = await this.#connection.stop({ task, attempt, token: this.#readToken() }, this.#orderTimeout.timeoutMs)
-      if (reply.kind === 'accepted' || (reply.kind === 'rejected' && reply.reason !== 'invalid')) break
-      await new Promise<void>(resolve => { this.#clock.startTimer(stopRetryMs, resolve) })
-    }
-    this.#unblockedOrderCount--
+  async #blockOrder (order: UnansweredOrder): Promise<void> {
+    const bornMs = this.#bornMs
+    await this.#orderBlocker.block(order, () => !this.#closed && this.#bornMs === bornMs)
     if (!this.#closed) this.#observer.onTargetChanged(this, 'polled')
   }
 
@@ -418,18 +387,7 @@
   }
 
   #loseRun (run: Run, reason: LossReason): void {
-    this.#removeRun(run)
+    this.#runs.remove(run)
     this.#observer.onRunLost(this, run, reason)
   }
-
-  #removeRun (run: Run): void {
-    if (!this.runs.delete(formatRunKey(run.task, run.attempt))) return
-    if (run.unanswered) this.#unansweredRunCount--
-    if (run.demand === undefined) this.#unknownDemandRunCount--
-    else this.#reserved.release(run.demand)
-  }
-
-  #isTracked (run: Run): boolean {
-    return this.runs.get(formatRunKey(run.task, run.attempt)) === run
-  }
 }
