--- a/packages/fleet/src/dispatcher-election.ts
+++ b/packages/fleet/src/dispatcher-election.ts
@@ -7,6 +7,7 @@
 import { type FleetMetrics } from './fleet-metrics.js'
 import { type MetadataStore } from './metadata-store.js'
 import { type OwnerServer } from './owner-server.js'
+import { startPeriodicTimer } from './periodic-timer.js'
 import { type TargetList } from './target-list.js'
 
 /** Interval in milliseconds between checks of the registration and of all domains. */
@@ -73,6 +74,7 @@
   }
 
   start (): void {
+    this.#cancelTick = startPeriodicTimer(this.#options.clock, checkIntervalMs, () => { this.#tick() })
     this.#tick()
   }
 
@@ -96,17 +98,17 @@
 
   /** Stops dispatchers whose row names another holder with a higher token, and refreshes all connections. */
   onDirectoryChanged (): void {
-    const { directory, self, server } = this.#options
+    const { directory, self, server, targets } = this.#options
     for (const dispatcher of server.listDispatchers()) {
       const entry = directory.findDispatcher(dispatcher.domain)
       if (entry === undefined || entry.incarnation === self.incarnation) continue
       if (entry.revision * tokensPerRevision > dispatcher.token) this.#stopDispatcher(dispatcher, `the row names ${entry.instance}`)
     }
+    targets.setFollowing(this.#isNamedInRows())
     for (const connection of this.#connections.values()) connection.refresh()
   }
 
   #tick (): void {
-    this.#cancelTick = this.#options.clock.startTimer(checkIntervalMs, () => { this.#tick() })
     this.#register()
     if (this.#isLeaving) return
     for (const [domain, connection] of this.#connections) this.#checkDomain(domain, connection)
@@ -154,6 +156,15 @@
     else if (candidacy === 'take-over-without-store') this.#becomeDispatcher(domain, entry!.revision * tokensPerRevision + successor + 1, 'without-store')
   }
 
+  /** @returns whether the row of a domain names this instance as the holder or as a successor */
+  #isNamedInRows (): boolean {
+    const { directory, self } = this.#options
+    return [...this.#connections.keys()].some(domain => {
+      const entry = directory.findDispatcher(domain)
+      return entry !== undefined && [entry, ...entry.successors].some(({ incarnation }) => incarnation === self.incarnation)
+    })
+  }
+
   #beginClaim (domain: string, reason: string): void {
     if (this.#pendingClaims.has(domain)) return
     this.#pendingClaims.add(domain)
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -4,11 +4,10 @@
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
 import { JobIntake } from './job-intake.js'
-import { parseTaskName } from './job-types.js'
 import { type FleetLimits } from './limits.js'
-import { summarizeLoad } from './load-estimates.js'
 import { type LoadSummary, type OwnerMessage } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
+import { startPeriodicTimer } from './periodic-timer.js'
 import { RunTracker } from './run-tracker.js'
 import { TargetSession } from './target-session.js'
 import { type TargetConnector, type TargetInfo } from './target-types.js'
@@ -67,9 +66,9 @@
   #token: number
   /** Whether the list has named every target that an earlier dispatcher may have used, at a time since this one began. */
   #hasCompleteList = false
+  readonly #cancelMaintenance: () => void
   #stopped = false
   #startsPaused = false
-  #cancelMaintenance: (() => void) | undefined
 
   constructor (options: DispatcherOptions) {
     this.#options = options
@@ -83,7 +82,7 @@
       onSuperseded: session => { this.#onSuperseded(session) }
     })
     this.#scheduler = new TaskScheduler(this.#state, () => this.#token, options.remoteFactor)
-    this.#scheduleMaintenance()
+    this.#cancelMaintenance = startPeriodicTimer(options.clock, maintenanceIntervalMs, () => { this.#mailbox.post(() => { this.#runMaintenance() }) })
   }
 
   get token (): number { return this.#token }
@@ -113,7 +112,7 @@
   stop (): void {
     if (this.#stopped) return
     this.#stopped = true
-    this.#cancelMaintenance?.()
+    this.#cancelMaintenance()
     this.#mailbox.stop()
     for (const session of this.#state.sessions.values()) session.close()
   }
@@ -151,13 +150,13 @@
   /** Queues one message of an owner to be handled. Heartbeats come often and change no queue, so they are handled at once. */
   enqueueMessage (connection: OwnerConnection, message: OwnerMessage): void {
     if (this.#stopped) return
-    if (message.type === 'ping') this.#handleHeartbeat(connection, message.heardSentAt)
+    if (message.type === 'ping' || message.type === 'heartbeat-reply') this.#handleHeartbeat(connection, message.heardSentAt)
     else this.#mailbox.post(() => { this.#handleMessage(connection, message) })
   }
 
   /** @returns the load summary that is sent to the owners */
   summarizeLoad (): LoadSummary {
-    return summarizeLoad(this.#state.sessions.values(), [...this.#state.queue], this.#state.now())
+    return this.#state.summarizeLoad()
   }
 
   /**
@@ -171,8 +170,8 @@
     for (const job of jobs.values()) {
       if (job.acceptedAt < acceptedBefore || !owners.isConnected(job.ownerId)) ids.add(job.id)
     }
-    for (const name of runs.keys()) {
-      const jobId = parseTaskName(name)?.jobId
+    for (const { run } of runs.values()) {
+      const jobId = run.name?.jobId
       if (jobId !== undefined && !jobs.has(jobId)) ids.add(jobId)
     }
     return [...ids]
@@ -186,14 +185,18 @@
   }
 
   #handleMessage (connection: OwnerConnection, message: OwnerMessage): void {
-    this.#state.owners.confirm(connection)
+    // The owner submits all its jobs again on its newest connection.
+    if (this.#state.owners.isSuperseded(connection)) return
+    // An owner may send a cancellation before it has received the welcome.
+    if (message.type !== 'cancel') this.#state.owners.confirm(connection)
     switch (message.type) {
       case 'submit': this.#intake.handleSubmission(connection, message, job => this.#findReleaseEvidence(job)); break
-      case 'withdraw': this.#intake.withdraw(connection, message.jobId); break
-      case 'cancel': this.#intake.cancel(connection, message.jobId, message.reason); break
+      case 'withdraw': this.#intake.withdraw(connection, message); break
+      case 'cancel': this.#intake.cancel(connection, message, message.reason); break
       case 'cancel-any': this.#intake.cancelAny(connection, message.jobId); break
       // These are handled elsewhere.
       case 'ping':
+      case 'heartbeat-reply':
       case 'hello':
       case 'configuration':
     }
@@ -286,17 +289,10 @@
     this.#options.onSuperseded()
   }
 
-  #scheduleMaintenance (): void {
-    this.#cancelMaintenance = this.#options.clock.startTimer(maintenanceIntervalMs, () => {
-      if (this.#stopped) return
-      this.#mailbox.post(() => { this.#runMaintenance() })
-      this.#scheduleMaintenance()
-    })
-  }
-
   #runMaintenance (): void {
     const now = this.#state.now()
     const { jobs, owners, unclaimedRuns, runs } = this.#state
+    this.#state.measureEfficiency()
     this.#intake.shedQueuedJobs(now)
     this.#tracker.pollStaleTargets(now)
     this.#dropUnlistedTargets()
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -2,6 +2,11 @@
 
 /** A submission of a job to a dispatcher. */
 export interface Submission {
+  /**
+   * Identifies the submission among all of the owner's process. The dispatcher's replies name it, as the
+   * job may have been submitted again meanwhile. Earlier versions omit it here and in all other messages.
+   */
+  readonly submissionId?: number
   readonly job: JobSpec
   /** Time in milliseconds since the owner accepted the job. */
   readonly ageMs: number
@@ -28,34 +33,52 @@
 
 /** Messages from an owner to a dispatcher. */
 export type OwnerMessage =
-  | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string }
-  /** `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
+  /** `sequence` rises with each connection that the owner opens to the domain; earlier versions omit it. */
+  | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number }
+  /** Answers a heartbeat, or the welcome; `heardSentAt` is its `sentAt`. */
+  | { readonly type: 'heartbeat-reply', readonly configurationVersion: number, readonly heardSentAt: number }
+  /** Asks a dispatcher that has been silent for a pong. `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
   | { readonly type: 'ping', readonly configurationVersion: number, readonly heardSentAt?: number }
   | ({ readonly type: 'submit' } & Submission)
-  | { readonly type: 'withdraw', readonly jobId: string }
-  | { readonly type: 'cancel', readonly jobId: string, readonly reason: string }
+  | { readonly type: 'withdraw', readonly jobId: string, readonly submissionId?: number }
+  | { readonly type: 'cancel', readonly jobId: string, readonly reason: string, readonly submissionId?: number }
   /** Cancels a job, whichever instance owns it; the reply tells whether the dispatcher knew the job. */
   | { readonly type: 'cancel-any', readonly jobId: string }
   | { readonly type: 'configuration', readonly version: number, readonly text: string }
 
+/** Periodic message of a dispatcher to all its owners, who answer it at once. */
+export interface HeartbeatMessage {
+  readonly type: 'heartbeat'
+  /** The dispatcher's monotonic time in milliseconds. */
+  readonly sentAt: number
+  readonly load: LoadSummary
+  readonly configurationVersion: number
+  /** Ids of all jobs that a resubmission may concern; only in the first heartbeat on a connection. */
+  readonly lingering?: readonly string[]
+  /** Changes of that list since the last heartbeat; absent if there are none. */
+  readonly lingeringAdded?: readonly string[]
+  readonly lingeringRemoved?: readonly string[]
+}
+
 /** Messages from a dispatcher to an owner. */
 export type DispatcherMessage =
+  | HeartbeatMessage
   /** `sentAt` is the dispatcher's monotonic time in milliseconds; earlier versions omit it. */
   | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number }
   /** The dispatcher has stopped: it sends no more orders and renews no leases. */
   | { readonly type: 'stopped' }
   | { readonly type: 'not-dispatching', readonly incarnation: string }
   /**
-   * `lingering` holds the ids of jobs that a resubmission may concern; it is absent if they have not changed.
+   * Answers a ping. `lingering` holds the ids of jobs that a resubmission may concern.
    * `sentAt` is the dispatcher's monotonic time in milliseconds; earlier versions omit it.
    */
   | { readonly type: 'pong', readonly sentAt?: number, readonly load: LoadSummary, readonly lingering?: readonly string[], readonly configurationVersion: number }
   | { readonly type: 'started', readonly jobIds: readonly string[] }
-  | { readonly type: 'progress', readonly jobId: string, readonly done: readonly number[] }
-  | { readonly type: 'ended', readonly jobId: string, readonly outcome: JobOutcome }
+  | { readonly type: 'progress', readonly jobId: string, readonly done: readonly number[], readonly submissionId?: number }
+  | { readonly type: 'ended', readonly jobId: string, readonly outcome: JobOutcome, readonly submissionId?: number }
   /** The dispatcher rejects the job and has started no task of it. */
-  | { readonly type: 'rejected', readonly jobId: string, readonly reason: RejectionReason, readonly retryAfterMs: number }
-  | { readonly type: 'withdrawn', readonly jobId: string }
+  | { readonly type: 'rejected', readonly jobId: string, readonly reason: RejectionReason, readonly retryAfterMs: number, readonly submissionId?: number }
+  | { readonly type: 'withdrawn', readonly jobId: string, readonly submissionId?: number }
   | { readonly type: 'cancelled-any', readonly jobId: string, readonly found: boolean }
   | { readonly type: 'configuration', readonly version: number, readonly text: string }
   /** The dispatcher is stopping; the named successor should claim the domain at once. */
