--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -206,8 +206,9 @@
   #submitTo (job: OwnedJob, connection: DispatcherConnection, resubmitted: boolean): void {
     const now = this.#options.clock.now()
     const { load, domain, token } = connection
-    const isSameDispatcher = job.location.kind !== 'none' && job.location.domain === domain && job.location.token === token
-    const isFirstDispatcher = isSameDispatcher && job.location.kind !== 'none' ? job.location.isFirstDispatcher : !job.mayHaveStarted
+    const last = job.location.kind === 'none' ? undefined : job.location
+    const isSameDispatcher = last?.domain === domain && last.token === token
+    const isFirstDispatcher = isSameDispatcher ? last.isFirstDispatcher : !job.mayHaveStarted
     const submissionId = ++this.#lastSubmissionId
     job.location = { kind: 'submitted', domain, token, submissionId, submittedAt: now, isFirstDispatcher }
     const quietInMs = resubmitted ? Math.round(connection.measureQuietMs()) : 0
