--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -186,7 +186,10 @@
 
   #handleMessage (connection: OwnerConnection, message: OwnerMessage): void {
     // The owner submits all its jobs again on its newest connection.
-    if (this.#state.owners.isSuperseded(connection)) return
+    if (this.#state.owners.isSuperseded(connection)) {
+      this.#state.log('job', 'message-ignored', { owner: connection.ownerId, type: message.type, reason: 'superseded connection' })
+      return
+    }
     // An owner may send a cancellation before it has received the welcome.
     if (message.type !== 'cancel') this.#state.owners.confirm(connection)
     switch (message.type) {
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -185,7 +185,9 @@
   #findJobAt (jobId: string, connection: DispatcherConnection, submissionId?: number): OwnedJob | undefined {
     const job = this.#jobs.get(jobId)
     if (job === undefined || job.location.kind === 'none' || job.location.domain !== connection.domain) return undefined
-    return submissionId === undefined || submissionId === job.location.submissionId ? job : undefined
+    if (submissionId === undefined || submissionId === job.location.submissionId) return job
+    this.#options.log.log('job', 'reply-ignored', { job: jobId, domain: connection.domain, submission: submissionId, newest: job.location.submissionId })
+    return undefined
   }
 
   /** Submits a job without a dispatcher: to one that may still hold it, else to the domain with the shortest expected wait. */
