Reject at once what a saturated dispatcher would finish too late

Predicted waits knew only the targets, so all jobs were admitted, all messages waited, and callers got 504 at their deadline.

Change: the lateness of the dispatcher's periodic timer measures by how much it delays what arrives; a job passes twice through it, and that time counts in the admission. job-admitted and job-rejected log it as delayMs.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -7,11 +7,18 @@
 import { estimateNominalThroughput, summarizeLoad } from './load-estimates.js'
 import { type DispatcherMessage, type LoadSummary } from './messages.js'
 import { OwnerRegistry } from './owner-registry.js'
+import { ProcessingDelay } from './processing-delay.js'
 import { type FleetLimits } from './limits.js'
 import { type Run } from './run.js'
 import { type TargetSession } from './target-session.js'
 import { UnclaimedRuns } from './unclaimed-runs.js'
 
+/**
+ * Interval in milliseconds of the periodic checks for late queued jobs, stale polls, lost owners
+ * and unclaimed runs.
+ */
+export const maintenanceIntervalMs = 50
+
 /** Time in milliseconds after a takeover within which the owners resubmit their jobs. */
 const adoptionWindowMs = 400
 
@@ -79,6 +86,7 @@
   readonly #secondRuns = new Map<string, readonly ActiveRun[]>()
   readonly owners = new OwnerRegistry()
   readonly unclaimedRuns: UnclaimedRuns
+  readonly processingDelay = new ProcessingDelay(maintenanceIntervalMs)
   readonly #efficiency = new DispatchEfficiency()
   readonly #clock: Clock
   readonly #limits: FleetLimits
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -1,5 +1,5 @@
 import { type Clock, Mailbox } from '@sesamereel/coordination'
-import { DispatchState, type ReleaseEvidence } from './dispatch-state.js'
+import { DispatchState, maintenanceIntervalMs, type ReleaseEvidence } from './dispatch-state.js'
 import { type DispatchedJob } from './dispatched-job.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
@@ -14,12 +14,6 @@
 import { TaskScheduler } from './task-scheduler.js'
 import { UnansweredOrders } from './unanswered-orders.js'
 
-/**
- * Interval in milliseconds of the periodic checks for late queued jobs, stale polls, lost owners
- * and unclaimed runs.
- */
-const maintenanceIntervalMs = 50
-
 /** Time in milliseconds by which a job is listed as lingering before its caller may resubmit it. */
 const resubmitMarginMs = 300
 
@@ -295,6 +289,7 @@
   #runMaintenance (): void {
     const now = this.#state.now()
     const { jobs, owners, unclaimedRuns, runs } = this.#state
+    this.#state.processingDelay.recordTick(now)
     this.#state.measureEfficiency()
     this.#intake.shedQueuedJobs(now)
     this.#tracker.pollStaleTargets(now)
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -195,8 +195,9 @@
     const load = estimateLoad(queue, throughput, job)
     // With work ahead of the job, its own tasks start one after the other as capacity becomes free.
     const ownWorkMs = load.workAhead > 0 && throughput > 0 ? sumWaitingWork(job) / throughput : 0
-    const decision = decideAdmission(load, job.remainingMs + ownWorkMs, job.usefulUntil - now)
-    const inputs = { predictedMs: Math.round(decision.predictedMs), usefulMs: Math.round(job.usefulUntil - now), queued: queue.size, rate: Math.round(throughput) }
+    const { delayPerJobMs } = this.#state.processingDelay
+    const decision = decideAdmission(load, job.remainingMs + ownWorkMs + delayPerJobMs, job.usefulUntil - now)
+    const inputs = { predictedMs: Math.round(decision.predictedMs), usefulMs: Math.round(job.usefulUntil - now), queued: queue.size, rate: Math.round(throughput), delayMs: Math.round(delayPerJobMs) }
     if (decision.kind === 'reject') return this.#reject(job, 'overloaded', decision.retryAfterMs, inputs)
     job.predictedWaitMs = decision.waitMs
     this.#state.log('job', 'job-admitted', { job: job.id, ...inputs, waitMs: Math.round(decision.waitMs) })
