--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -185,7 +185,9 @@
   #findJobAt (jobId: string, connection: DispatcherConnection, submissionId?: number): OwnedJob | undefined {
     const job = this.#jobs.get(jobId)
     if (job === undefined || job.location.kind === 'none' || job.location.domain !== connection.domain) return undefined
-    return submissionId === undefined || submissionId === job.location.submissionId ? job : undefined
+    if (submissionId === undefined || submissionId === job.location.submissionId) return job
+    this.#options.log.log('job', 'reply-ignored', { job: jobId, domain: connection.domain, submission: submissionId, newest: job.location.submissionId })
+    return undefined
   }
 
   /** Submits a job without a dispatcher: to one that may still hold it, else to the domain with the shortest expected wait. */
@@ -206,8 +208,9 @@
   #submitTo (job: OwnedJob, connection: DispatcherConnection, resubmitted: boolean): void {
     const now = this.#options.clock.now()
     const { load, domain, token } = connection
-    const isSameDispatcher = job.location.kind !== 'none' && job.location.domain === domain && job.location.token === token
-    const isFirstDispatcher = isSameDispatcher && job.location.kind !== 'none' ? job.location.isFirstDispatcher : !job.mayHaveStarted
+    const last = job.location.kind === 'none' ? undefined : job.location
+    const isSameDispatcher = last?.domain === domain && last.token === token
+    const isFirstDispatcher = isSameDispatcher ? last.isFirstDispatcher : !job.mayHaveStarted
     const submissionId = ++this.#lastSubmissionId
     job.location = { kind: 'submitted', domain, token, submissionId, submittedAt: now, isFirstDispatcher }
     const quietInMs = resubmitted ? Math.round(connection.measureQuietMs()) : 0
