Don't take the limit of a silent owner for a lack of capacity

Callers could see: jobs waited although targets were free, while the task of an owner that had been silent for some 0.3 s was first in the queue. Cause: a round remembers demands that fit no target; a task that was only withheld by its own owner's limit was taken for such a demand, so equal tasks of all other owners were not tried. Test: silent-owner-blocks-equal-demands, failed before (no start instead of one).

--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -50,10 +50,8 @@
     if (this.#state.computeRunLimit(job) < now + startWindowMs) return
     for (const task of job.tasks) {
       if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex)) continue
-      const key = formatDemandKey(job.spec.service, job.getStep(task))
-      const target = fullFor.has(key) ? undefined : this.#pickTarget(job, task, candidates, now)
+      const target = this.#pickTarget(job, task, candidates, fullFor, now)
       if (target !== undefined) this.#startTask(job, task, target.session, now)
-      else if (job.getStep(task).maxPerTarget === undefined) fullFor.add(key)
     }
   }
 
@@ -61,13 +59,20 @@
    * A start order also extends the leases of the target's other runs, so the target must not have one whose
    * owner may be lost. A lease belongs to the target, so the task may last until the latest one that was granted there.
    */
-  #pickTarget (job: DispatchedJob, task: TaskRecord, candidates: readonly SessionCandidate[], now: number): SessionCandidate | undefined {
+  #pickTarget (job: DispatchedJob, task: TaskRecord, candidates: readonly SessionCandidate[], fullFor: Set<string>, now: number): SessionCandidate | undefined {
+    const step = job.getStep(task)
+    const key = formatDemandKey(job.spec.service, step)
+    if (fullFor.has(key)) return undefined
     const countRunsOfStep = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.stepIndex)
     const runLimit = this.#state.computeRunLimit(job)
     let usable = candidates
     for (;;) {
-      const target = pickTarget(usable, job.spec.service, job.getStep(task), countRunsOfStep, this.#remoteFactor)
-      if (target === undefined) return undefined
+      const target = pickTarget(usable, job.spec.service, step, countRunsOfStep, this.#remoteFactor)
+      if (target === undefined) {
+        // Only a lack of capacity concerns the equal tasks of other jobs, not the limits of this one.
+        if (usable === candidates && step.maxPerTarget === undefined) fullFor.add(key)
+        return undefined
+      }
       // A start in this round may have made the target unusable.
       const isWithinLimit = target.session.leasesEndAt <= runLimit && this.#state.computeLeaseLimit(target.session) >= now + startWindowMs
       if (isWithinLimit && target.session.isUsable(now)) return target
