Try a new holder at once while an earlier one is being tried

Change: a row with another revision ends the wait for the first message of an endpoint of the earlier row, and the attempt continues with the newer row.

--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -103,6 +103,10 @@
   #earlierRunsEndAt = 0
   #closed = false
   #connecting = false
+  /** Revision of the domain's row whose endpoints are being tried. */
+  #triedRevision = 0
+  /** Gives up the attempt that waits for the first message of an endpoint. */
+  #abandonAttempt: (() => void) | undefined
   #cancelTimer: (() => void) | undefined
 
   constructor (options: DispatcherConnectionOptions) {
@@ -173,7 +177,10 @@
     const entry = this.#options.directory.findDispatcher(this.domain)
     const isSuperseded = entry !== undefined && this.#holder !== undefined && entry.incarnation !== this.#holder.incarnation && entry.revision * tokensPerRevision > this.#token
     if (this.#connected && isSuperseded) this.#stream?.close('another dispatcher holds the domain')
-    if (!this.#connected) this.#connect()
+    if (this.#connected) return
+    // The endpoint that is being tried belongs to an earlier row.
+    if (entry !== undefined && entry.revision !== this.#triedRevision) this.#abandonAttempt?.()
+    this.#connect()
   }
 
   /** Connects, or checks whether the dispatcher still responds. */
@@ -205,6 +212,7 @@
     if (this.#connectLocally()) return
     const entry = this.#options.directory.findDispatcher(this.domain)
     if (entry === undefined) return
+    this.#triedRevision = entry.revision
     for (const endpoint of [entry, ...entry.successors]) {
       if (endpoint.incarnation === this.#options.self.incarnation) continue
       const isGone = await this.#tryEndpoint(endpoint)
@@ -214,6 +222,10 @@
       // This instance may have become the dispatcher meanwhile: a domain without one is claimed by its
       // instances, and only in that case are the successors worth trying.
       if (this.#connectLocally()) return
+      if (this.#options.directory.findDispatcher(this.domain)?.revision !== entry.revision) {
+        await this.#tryEndpoints()
+        return
+      }
     }
   }
 
@@ -256,9 +268,11 @@
     if (result.kind !== 'open') return result.kind === 'refused'
     this.#stream = result.stream
     result.stream.send(this.#createHello())
-    const cancelTimeout = clock.startTimer(connectTimeoutMs, () => { finish(false) })
+    this.#abandonAttempt = () => { finish(false) }
+    const cancelTimeout = clock.startTimer(connectTimeoutMs, this.#abandonAttempt)
     const isGone = await settled
     cancelTimeout()
+    this.#abandonAttempt = undefined
     if (!this.#connected) result.stream.close('no welcome message in time')
     return isGone
   }
--- a/packages/fleet/test/connection-fixture.ts
+++ b/packages/fleet/test/connection-fixture.ts
@@ -14,12 +14,14 @@
   override onLoadChanged (): void {}
 }
 
-/** Connects to whatever dispatcher the test has made the holder; each address may be up, refused or unreachable. */
+/** Connects to whatever dispatcher the test has made the holder; each address may be up, silent, refused or unreachable. */
 class FakePeers extends PeerConnector {
-  readonly tokens = new Map<string, number | 'refused'>()
+  readonly tokens = new Map<string, number | 'refused' | 'silent'>()
+  openCount = 0
   handler: PeerHandler | undefined
 
   override async open (address: string, timeoutMs: number, handler: PeerHandler): Promise<PeerOpenResult> {
+    this.openCount++
     const token = this.tokens.get(address)
     if (token === undefined) return { kind: 'unreachable', message: 'timeout' }
     if (token === 'refused') return { kind: 'refused', message: 'ECONNREFUSED' }
@@ -27,7 +29,7 @@
     return {
       kind: 'open',
       stream: {
-        send: message => { if ((message as { type: string }).type === 'hello') queueMicrotask(() => { handler.onMessage({ type: 'welcome', token }) }) },
+        send: message => { if ((message as { type: string }).type === 'hello' && token !== 'silent') queueMicrotask(() => { handler.onMessage({ type: 'welcome', token }) }) },
         close: () => {}
       }
     }
@@ -38,6 +40,8 @@
   readonly clock: ManualClock
   readonly peers: FakePeers
   readonly connection: DispatcherConnection
+  /** Puts an instance that does not answer into the domain's row, and ends the connection. */
+  readonly nameSilent: (instance: string, revision: number) => Promise<void>
   /** Puts an instance into the domain's row and connects to it. */
   readonly follow: (instance: string, revision: number) => Promise<void>
 }
@@ -57,5 +61,11 @@
     await flushMicrotasks()
     assert.equal(connection.isConnected, true)
   }
-  return { clock, peers, connection, follow }
+  const nameSilent = async (instance: string, revision: number): Promise<void> => {
+    entry = { domain: 'a', instance, incarnation: `${instance}-1`, address: instance, successors: [], revision }
+    peers.tokens.set(instance, 'silent')
+    peers.handler?.onClose('closed by the peer')
+    await flushMicrotasks()
+  }
+  return { clock, peers, connection, follow, nameSilent }
 }
