Examine only jobs and targets that can match in a scheduling round

Cause: each round, several thousand a second at a saturated dispatcher, sorted the whole queue and compared each queued task with each target as soon as any target had a remainder that fitted any job. Demands differ by job, so the memory of demands that fit nowhere did not help. Processor time grew with queue times targets, and a dispatcher in an overload spent its processor on that instead of on its owners.

Change: a round looks only at jobs whose smallest task fits the largest remainder and at targets that fit the smallest task of these, and ends when no such target is left. The decisions are the same.

--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -30,29 +30,42 @@
     const { queue, sessions } = this.#state
     if (queue.size === 0) return
     const now = this.#state.now()
-    const candidates = [...sessions.values()].filter(session => session.isUsable(now)).map(session => new SessionCandidate(session))
-    const largestFree = candidates.reduce((largest, { freeCapacity }) => Math.max(largest, freeCapacity.processors), 0)
-    // In an overload most rounds have no free capacity, and sorting a long queue costs more than the rest.
-    if (![...queue].some(job => job.smallestDemand <= largestFree)) return
+    const usable = [...sessions.values()].filter(session => session.isUsable(now))
+    const largestFree = usable.reduce((largest, { freeCapacity }) => Math.max(largest, freeCapacity.processors), 0)
+    // In an overload little capacity is free in most rounds, and all other jobs and targets need no further look.
+    const fitting = [...queue].filter(job => job.smallestDemand <= largestFree)
+    if (fitting.length === 0) return
+    const smallestDemand = fitting.reduce((smallest, job) => Math.min(smallest, job.smallestDemand), Infinity)
+    const hasRoom = ({ freeCapacity }: TargetSession | SessionCandidate): boolean => freeCapacity.processors >= smallestDemand
+    let candidates = usable.filter(hasRoom).map(session => new SessionCandidate(session))
     const fullFor = new Set<string>()
     const newlyStarted = new Map<string, string[]>()
-    for (const job of sortQueue([...queue], now)) {
+    for (const job of sortQueue(fitting, now)) {
+      if (candidates.length === 0) break
       const wasStarted = job.started
-      this.#startTasksOf(job, candidates, fullFor, now)
+      const startCount = this.#startTasksOf(job, candidates, fullFor, now)
       if (job.started && !wasStarted) newlyStarted.set(job.ownerId, [...newlyStarted.get(job.ownerId) ?? [], job.id])
       if (!job.hasStartableTask()) queue.delete(job)
+      if (startCount > 0) candidates = candidates.filter(hasRoom)
     }
     for (const [ownerId, jobIds] of newlyStarted) this.#state.owners.send(ownerId, { type: 'started', jobIds })
   }
 
-  /** @param fullFor - keys of demands that fit no target any more in this round */
-  #startTasksOf (job: DispatchedJob, candidates: readonly SessionCandidate[], fullFor: Set<string>, now: number): void {
-    if (this.#state.computeRunLimit(job) < now + startWindowMs) return
+  /**
+   * @param fullFor - keys of demands that fit no target any more in this round
+   * @returns the number of tasks that were started
+   */
+  #startTasksOf (job: DispatchedJob, candidates: readonly SessionCandidate[], fullFor: Set<string>, now: number): number {
+    if (this.#state.computeRunLimit(job) < now + startWindowMs) return 0
+    let count = 0
     for (const task of job.tasks) {
       if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex)) continue
       const target = this.#pickTarget(job, task, candidates, fullFor, now)
-      if (target !== undefined) this.#startTask(job, task, target.session, now)
+      if (target === undefined) continue
+      this.#startTask(job, task, target.session, now)
+      count++
     }
+    return count
   }
 
   /**
