Count only time in which the process ran as silence of others

Cause: after a stall (short of processor time, paused, a long task) timers run before the sockets are read. The checks for silence then compared the time of the last message that had been read with now: an owner closed its connection to a dispatcher whose heartbeats were waiting in its sockets, and a dispatcher closed all owners that had answered meanwhile. All of them connected and submitted their jobs again at once, which stalled the dispatcher further; and the stall counted as loss of the dispatcher, so that the instance claimed the domain.

Change: between two checks at most twice their interval counts as silence, or as loss when a domain is claimed. Bounds stay as they are, and leases too: they end by the owner's last confirmed sign of life. What is derived from the loss of a dispatcher (when its runs have ended) still counts from the clock.

--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -9,6 +9,12 @@
 /** Interval in milliseconds between checks of a connection. */
 const checkIntervalMs = 50
 
+/**
+ * Longest time in milliseconds between two checks that counts as silence or as loss of the dispatcher. In a longer
+ * one this process was paused or busy, and what has arrived meanwhile is read only after the check.
+ */
+const maxObservedMs = 2 * checkIntervalMs
+
 /** Time in milliseconds without any message after which a connected dispatcher is asked for one; longer than between its heartbeats. */
 const pingAfterMs = 250
 
@@ -92,6 +98,9 @@
   #disconnectedAt: number
   #lastMessageAt = 0
   #pingedAt = -Infinity
+  #checkedAt: number
+  /** Time in milliseconds without a message, or without a connection, in which this process ran. */
+  #observedMs = 0
   /** Newest `sentAt` that was received on the current stream. */
   #heardSentAt: number | undefined
   #holder: Endpoint | undefined
@@ -112,6 +121,7 @@
   constructor (options: DispatcherConnectionOptions) {
     this.#options = options
     this.#disconnectedAt = options.clock.now()
+    this.#checkedAt = this.#disconnectedAt
   }
 
   get domain (): string { return this.#options.domain }
@@ -128,6 +138,11 @@
     return this.#connected ? 0 : this.#options.clock.now() - this.#disconnectedAt
   }
 
+  /** @returns milliseconds without a connection in which this process ran, so that it could have connected; 0 while connected */
+  measureObservedLostMs (): number {
+    return Math.min(this.measureLostMs(), this.#observedMs)
+  }
+
   /** @returns whether the process with this incarnation was the last one to accept this connection */
   hasBeenConnectedTo (incarnation: string): boolean {
     return this.#holder?.incarnation === incarnation
@@ -185,12 +200,14 @@
 
   /** Connects, or checks whether the dispatcher still responds. */
   #check (): void {
+    const now = this.#options.clock.now()
+    this.#observedMs += Math.min(now - this.#checkedAt, maxObservedMs)
+    this.#checkedAt = now
     if (!this.#connected) {
       this.#connect()
       return
     }
-    const now = this.#options.clock.now()
-    const silentMs = now - this.#lastMessageAt
+    const silentMs = Math.min(now - this.#lastMessageAt, this.#observedMs)
     if (silentMs > heartbeatTimeoutMs) {
       this.#stream?.close('silent')
       return
@@ -279,6 +296,7 @@
 
   #handleMessage (message: DispatcherMessage, endpoint: Endpoint): void {
     this.#lastMessageAt = this.#options.clock.now()
+    if (this.#connected) this.#observedMs = 0
     switch (message.type) {
       case 'stopped': this.#previousHasEnded = true; return
       case 'welcome':
@@ -312,6 +330,7 @@
     if (isNew) this.#earlierRunsEndAt = Math.max(this.#earlierRunsEndAt, this.#disconnectedAt + (this.#previousHasEnded ? endedDispatcherRunExpiryMs : lostDispatcherRunExpiryMs))
     this.#previousHasEnded = false
     this.#connected = true
+    this.#observedMs = 0
     this.#isHolderGone = false
     this.#token = token
     this.#holder = endpoint
@@ -343,6 +362,7 @@
     this.#stream = undefined
     if (!this.#connected) return
     this.#connected = false
+    this.#observedMs = 0
     this.#load = undefined
     this.#disconnectedAt = this.#options.clock.now()
     this.#options.log.log('belief', 'dispatcher-lost', { domain: this.domain, holder: this.#holder?.instance, token: this.#token, reason, heardMsAgo: Math.round(this.#disconnectedAt - this.#lastMessageAt) })
--- a/packages/fleet/src/dispatcher-election.ts
+++ b/packages/fleet/src/dispatcher-election.ts
@@ -234,7 +234,7 @@
     const now = this.#options.clock.now()
     const known = this.#holdersSince.get(domain)
     if (known?.revision !== revision) this.#holdersSince.set(domain, { revision, at: known === undefined ? -Infinity : now, knownAt: now })
-    const lostMs = this.#connections.get(domain)?.measureLostMs() ?? 0
+    const lostMs = this.#connections.get(domain)?.measureObservedLostMs() ?? 0
     return Math.min(lostMs, now - this.#holdersSince.get(domain)!.at)
   }
 
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -14,6 +14,12 @@
 /** Interval in milliseconds between checks for heartbeat timeouts. */
 const timeoutCheckIntervalMs = 150
 
+/**
+ * Longest time in milliseconds between two checks that counts as silence. In a longer one this process was paused or
+ * busy, and the messages that have arrived meanwhile are read only after the check.
+ */
+const maxObservedMs = 2 * timeoutCheckIntervalMs
+
 /**
  * Interval in milliseconds between two heartbeats to the owners of a dispatcher. Above the number of
  * owners the longer one applies, so that heartbeats take a bounded part of a dispatcher's time.
@@ -31,6 +37,8 @@
   readonly instance: string
   readonly #stream: PeerStream
   lastMessageAt: number
+  /** Time in milliseconds without a message in which this process ran. */
+  observedSilentMs = 0
   /** Whether a heartbeat was sent on the connection. */
   hasHeartbeat = false
   lastSentConfigurationVersion = 0
@@ -64,12 +72,14 @@
   readonly #connections = new Map<StreamConnection, string>()
   readonly #cancelTimers: ReadonlyArray<() => void>
   #lastHeartbeatAt = -Infinity
+  #checkedAt: number
 
   constructor (incarnation: string, clock: Clock, relay: ConfigurationRelay) {
     super()
     this.#incarnation = incarnation
     this.#clock = clock
     this.#relay = relay
+    this.#checkedAt = clock.now()
     this.#cancelTimers = [
       startPeriodicTimer(clock, timeoutCheckIntervalMs, () => { this.#closeSilentConnections() }),
       startPeriodicTimer(clock, heartbeatIntervalMs, () => { this.#sendHeartbeats() })
@@ -185,6 +195,7 @@
 
   #handleMessage (connection: StreamConnection, message: OwnerMessage): void {
     connection.lastMessageAt = this.#clock.now()
+    connection.observedSilentMs = 0
     const dispatcher = this.#dispatchers.get(this.#connections.get(connection) ?? '')
     if (dispatcher === undefined) return
     if (message.type === 'configuration') {
@@ -233,6 +244,11 @@
 
   #closeSilentConnections (): void {
     const now = this.#clock.now()
-    for (const connection of [...this.#connections.keys()]) if (now - connection.lastMessageAt > heartbeatTimeoutMs) connection.close('silent')
+    const observedMs = Math.min(now - this.#checkedAt, maxObservedMs)
+    this.#checkedAt = now
+    for (const connection of [...this.#connections.keys()]) {
+      connection.observedSilentMs += observedMs
+      if (Math.min(now - connection.lastMessageAt, connection.observedSilentMs) > heartbeatTimeoutMs) connection.close('silent')
+    }
   }
 }
--- a/packages/fleet/test/connection-fixture.ts
+++ b/packages/fleet/test/connection-fixture.ts
@@ -17,11 +17,11 @@
 /** Connects to whatever dispatcher the test has made the holder; each address may be up, silent, refused or unreachable. */
 class FakePeers extends PeerConnector {
   readonly tokens = new Map<string, number | 'refused' | 'silent'>()
-  openCount = 0
+  /** Reasons with which the connection under test closed its streams. */
+  readonly closeReasons: string[] = []
   handler: PeerHandler | undefined
 
   override async open (address: string, timeoutMs: number, handler: PeerHandler): Promise<PeerOpenResult> {
-    this.openCount++
     const token = this.tokens.get(address)
     if (token === undefined) return { kind: 'unreachable', message: 'timeout' }
     if (token === 'refused') return { kind: 'refused', message: 'ECONNREFUSED' }
@@ -30,7 +30,7 @@
       kind: 'open',
       stream: {
         send: message => { if ((message as { type: string }).type === 'hello' && token !== 'silent') queueMicrotask(() => { handler.onMessage({ type: 'welcome', token }) }) },
-        close: () => {}
+        close: reason => { this.closeReasons.push(reason) }
       }
     }
   }
--- a/packages/fleet/test/started-instance-claims-held-domain.test.ts
+++ b/packages/fleet/test/started-instance-claims-held-domain.test.ts
@@ -37,7 +37,7 @@
     isConnected: false,
     get isHolderGone () { return connection.isHolderGone },
     hasBeenConnectedTo: (incarnation: string) => incarnation === connection.connectedTo,
-    measureLostMs: () => clock.now() - startedAt
+    measureObservedLostMs: () => clock.now() - startedAt
   } as unknown as DispatcherConnection
   const election = new DispatcherElection({
     self,
