--- a/packages/fleet/src/dispatcher-election.ts
+++ b/packages/fleet/src/dispatcher-election.ts
@@ -151,8 +151,7 @@
       else this.#beginClaim(domain, 'fenced')
       return
     }
-    const unavailableMs = this.#measureUnavailableMs(domain)
-    if (entry !== undefined && this.#isWithinGrace(entry, connection)) return
+    const unavailableMs = this.#measureClaimableMs(domain, entry, connection)
     const successor = entry?.successors.findIndex(other => other.incarnation === self.incarnation) ?? -1
     const candidacy = decideCandidacy({
       self,
@@ -222,10 +221,12 @@
     return !this.#connections.get(domain)!.isConnected && this.#measureUnavailableMs(domain) >= foreignClaimGraceMs
   }
 
-  /** @returns whether a holder to which this instance has never been connected still has time to become reachable */
-  #isWithinGrace (entry: DispatcherEntry, connection: DispatcherConnection): boolean {
-    if (connection.isHolderGone || connection.hasBeenConnectedTo(entry.incarnation)) return false
-    return this.#options.clock.now() - this.#holdersSince.get(entry.domain)!.knownAt < newHolderGraceMs
+  /** @returns milliseconds for which the domain has been unavailable, after the grace time of a holder that was never reached */
+  #measureClaimableMs (domain: string, entry: DispatcherEntry | undefined, connection: DispatcherConnection): number {
+    const unavailableMs = this.#measureUnavailableMs(domain)
+    if (entry === undefined || connection.isHolderGone || connection.hasBeenConnectedTo(entry.incarnation)) return unavailableMs
+    // The candidates keep the order of their ranks after the grace time.
+    return Math.min(unavailableMs, this.#options.clock.now() - this.#holdersSince.get(domain)!.knownAt - newHolderGraceMs)
   }
 
   /** @returns milliseconds for which the domain's named dispatcher has been unreachable */
--- a/packages/fleet/test/started-instance-claims-held-domain.test.ts
+++ b/packages/fleet/test/started-instance-claims-held-domain.test.ts
@@ -14,7 +14,7 @@
 }
 
 /** Starts the election of an instance that finds a holder in the domain's row and is not connected to it. */
-function startElection (): ElectionFixture {
+function startElection (members: readonly InstanceEntry[] = [self]): ElectionFixture {
   const clock = new ManualClock()
   const startedAt = clock.now()
   let entry: DispatcherEntry
@@ -30,7 +30,7 @@
       return await Promise.resolve({ kind: 'conflict' })
     }
   } as unknown as MetadataStore
-  const directory = { isLoaded: true, findDispatcher: () => entry, findInstance: () => self, listInstances: () => [self], recordDispatcher: () => {} } as unknown as Directory
+  const directory = { isLoaded: true, findDispatcher: () => entry, findInstance: () => self, listInstances: () => members, recordDispatcher: () => {} } as unknown as Directory
   const connection = { isHolderGone: false, connectedTo: undefined as string | undefined }
   const dispatcherConnection = {
     domain: 'a',
@@ -76,6 +76,14 @@
     assert.equal(claims(), 0)
   })
 
+  it('lets a stronger candidate go first after that time', async () => {
+    const { clock, claims } = startElection([self, { ...self, instance: 'stronger', incarnation: 'stronger-1', power: 4 }])
+    await clock.advance(950)
+    assert.equal(claims(), 0)
+    await clock.advance(250)
+    assert.ok(claims() > 0)
+  })
+
   it('claims at once when the holder has proved to be gone, or was lost after a connection', async () => {
     for (const change of [{ isHolderGone: true }, { connectedTo: 'other-1' }]) {
       const { clock, claims, connection } = startElection()
