--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -215,7 +215,8 @@
   /** Removes a job without an outcome and stops its runs. */
   dropJob (job: DispatchedJob, reason: string): void {
     this.removeJob(job)
-    this.log('job', 'job-dropped', { job: job.id, owner: job.ownerId, reason, started: job.started })
+    const confirmedMsAgo = Math.round(this.now() - this.owners.getConfirmedAt(job.ownerId))
+    this.log('job', 'job-dropped', { job: job.id, owner: job.ownerId, reason, started: job.started, ageMs: Math.round(this.now() - job.acceptedAt), confirmedMsAgo: Number.isFinite(confirmedMsAgo) ? confirmedMsAgo : undefined })
     this.#stopRuns(job)
   }
 
--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -92,6 +92,8 @@
   #disconnectedAt: number
   #lastMessageAt = 0
   #pingedAt = -Infinity
+  /** Time at which the list of lingering jobs was last known to be current; undefined on a connection that has not received it. */
+  #listedAt: number | undefined
   /** Newest `sentAt` that was received on the current stream. */
   #heardSentAt: number | undefined
   #holder: Endpoint | undefined
@@ -129,6 +131,11 @@
     return Math.max(0, this.#earlierRunsEndAt - this.#options.clock.now())
   }
 
+  /** @returns milliseconds since the list of lingering jobs was last received; undefined if it was not on this connection */
+  measureListAgeMs (): number | undefined {
+    return this.#listedAt === undefined ? undefined : this.#options.clock.now() - this.#listedAt
+  }
+
   /** @returns whether the dispatcher reported that it may still hold the job or runs of it */
   isLingering (jobId: string): boolean {
     return this.#lingering.has(jobId)
@@ -293,6 +300,7 @@
     if (isNew) this.#earlierRunsEndAt = Math.max(this.#earlierRunsEndAt, this.#disconnectedAt + (this.#previousHasEnded ? endedDispatcherRunExpiryMs : lostDispatcherRunExpiryMs))
     this.#previousHasEnded = false
     this.#connected = true
+    this.#listedAt = undefined
     this.#isHolderGone = false
     this.#token = token
     this.#holder = endpoint
@@ -313,6 +321,7 @@
 
   #handleLoad (message: HeartbeatMessage | Extract<DispatcherMessage, { type: 'pong' }>): void {
     this.#load = message.load
+    this.#listedAt = this.#options.clock.now()
     this.#heardSentAt = message.sentAt
     const { current } = this.#options.relay
     if (current !== undefined && message.configurationVersion < current.version) this.send({ type: 'configuration', ...current })
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -77,6 +77,14 @@
   cancel (connection: OwnerConnection, { jobId, submissionId }: OwnersRequest, reason: string): void {
     const job = this.#findOwned(connection, jobId, submissionId)
     if (job !== undefined) this.#state.dropJob(job, reason)
+    else this.#logIgnoredCancellation(connection, jobId, submissionId)
+  }
+
+  /** Logs why a cancellation has no effect, unless the job has ended. */
+  #logIgnoredCancellation (connection: OwnerConnection, jobId: string, submissionId: number | undefined): void {
+    const known = this.#state.jobs.get(jobId)
+    if (known === undefined) return
+    this.#state.log('job', 'cancellation-ignored', { job: jobId, owner: connection.ownerId, submission: submissionId, holder: known.ownerId, newest: known.submissionId })
   }
 
   /** Drops a job regardless of its owner, and replies whether it was known. */
@@ -120,7 +128,7 @@
   }
 
   #attachOwner (connection: OwnerConnection, job: DispatchedJob, submissionId: number | undefined): void {
-    this.#state.log('job', 'job-attached', { job: job.id, owner: connection.ownerId, previous: job.ownerId })
+    this.#state.log('job', 'job-attached', { job: job.id, owner: connection.ownerId, previous: job.ownerId, ageMs: Math.round(this.#state.now() - job.acceptedAt) })
     job.connection = connection
     job.submissionId = submissionId
     this.#state.owners.trackOwner(connection.ownerId)
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -6,7 +6,7 @@
 import { type JobSpec, type RejectionReason } from './job-types.js'
 import { type FleetLimits } from './limits.js'
 import { type DispatcherMessage, type LoadSummary } from './messages.js'
-import { type JobAnswer, OwnedJob } from './owned-job.js'
+import { type JobAnswer, OwnedJob, type SubmissionRecord } from './owned-job.js'
 import { startPeriodicTimer } from './periodic-timer.js'
 
 /** Interval in milliseconds between checks of all jobs for expiry and for lost dispatchers. */
@@ -214,7 +214,7 @@
     const submissionId = ++this.#lastSubmissionId
     job.location = { kind: 'submitted', domain, token, submissionId, submittedAt: now, isFirstDispatcher }
     const quietInMs = resubmitted ? Math.round(connection.measureQuietMs()) : 0
-    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(now - job.acceptedAt), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs })
+    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(now - job.acceptedAt), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs, listAgeMs: roundOptional(connection.measureListAgeMs()), unlisted: this.#countUnlisted() })
     connection.reserveProcessors(job.demand.processors)
     connection.send({ type: 'submit', submissionId, job: job.spec, ageMs: now - job.acceptedAt, resubmitted, quietInMs, done: [...job.done] })
   }
@@ -310,10 +310,21 @@
 
   /** Cancels a job at its dispatcher, if it has one, and answers its callers. */
   #cancelAndAnswer (job: OwnedJob, answer: JobAnswer, reason: string): void {
-    if (job.location.kind !== 'none') this.#connections.get(job.location.domain)?.send({ type: 'cancel', jobId: job.spec.id, reason, submissionId: job.location.submissionId })
+    if (job.location.kind !== 'none') this.#cancelAtDispatcher(job.spec.id, job.location, reason)
     this.#answerJob(job, answer)
   }
 
+  #cancelAtDispatcher (jobId: string, { domain, submissionId }: SubmissionRecord, reason: string): void {
+    const connection = this.#connections.get(domain)
+    if (connection?.isConnected !== true) this.#options.log.log('job', 'cancellation-not-sent', { job: jobId, submission: submissionId, domain, lostMs: roundOptional(connection?.measureLostMs()) })
+    connection?.send({ type: 'cancel', jobId, reason, submissionId })
+  }
+
+  /** @returns number of domains of whose dispatcher this instance does not know the lingering jobs */
+  #countUnlisted (): number {
+    return [...this.#connections.values()].filter(connection => !connection.isConnected || connection.measureListAgeMs() === undefined).length
+  }
+
   /** Ends a job without a result; answers `rejected` only if no task of it can have started. */
   #abortJob (job: OwnedJob, reason: string): void {
     const cannotHaveStarted = job.location.kind === 'none' && !job.mayHaveStarted
@@ -345,3 +356,7 @@
 function createRejection (job: OwnedJob, reason: RejectionReason): JobAnswer {
   return job.mayHaveStarted ? { kind: 'unknown', reason } : { kind: 'rejected', reason, retryAfterMs: job.retryAfterMs }
 }
+
+function roundOptional (value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value)
+}
--- a/packages/fleet/test/owner-fixture.ts
+++ b/packages/fleet/test/owner-fixture.ts
@@ -22,6 +22,7 @@
   isLingering (jobId: string): boolean { return jobId === this.lingering }
   measureLostMs (): number { return this.lostMs }
   measureQuietMs (): number { return 0 }
+  measureListAgeMs (): number { return 0 }
   reserveProcessors (): void {}
   send (message: OwnerMessage): void { this.sent.push(message) }
 
