Count signs of life for the connection on which a job was submitted

The record needs a first run that was kept alive more than 1.3 s after its caller had lost the answer, and neither stopped nor lapsed. Cause, one way to that: an owner that gives a job up while its connection to the dispatcher is broken, or has gone silent, can't cancel it. It reconnects without the job, and its signs of life on the new connection counted for all its jobs. The dispatcher dropped the job only once it had noticed the end of the earlier connection, 0.6 to 0.75 s later when that one is silent, and leases granted until then last 1.25 s beyond the newest sign of life; if the stop order is lost as well, the run lives 2 s and more beside the repeat of its job. Change: a sign of life counts only for jobs that were submitted on the same connection, so that the lease of a job that was not submitted again ends within the limit of its last connection. A job counts as given up as soon as its owner has answered on a newer connection, whatever became of the earlier one. The test failed before: 'the lease lasts until 2928 ms after the job was given up' (allowed: 1300), and 'the run was not stopped' with the earlier connection still open. Whether the users' second run came about this way is not proven: their play left no logs.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -162,12 +162,13 @@
   /**
    * Computes until when runs of a job may be kept alive. An owner that is lost can't cancel its jobs,
    * and its callers send them again through any instance after the resubmission time, so no run may
-   * outlive the last sign of life of its owner by that time.
+   * outlive the last sign of life of its owner by that time. An owner that has given a job up does not submit
+   * it on its next connection, so only signs of life on the job's own connection count.
    *
    * @returns monotonic time in milliseconds
    */
   computeRunLimit (job: DispatchedJob): number {
-    return this.owners.getConfirmedAt(job.ownerId) + this.#limits.resubmitMs - runEndMarginMs
+    return this.owners.getConfirmedAt(job.connection) + this.#limits.resubmitMs - runEndMarginMs
   }
 
   /**
@@ -215,7 +216,7 @@
   /** Removes a job without an outcome and stops its runs. */
   dropJob (job: DispatchedJob, reason: string): void {
     this.removeJob(job)
-    const confirmedMsAgo = Math.round(this.now() - this.owners.getConfirmedAt(job.ownerId))
+    const confirmedMsAgo = Math.round(this.now() - this.owners.getConfirmedAt(job.connection))
     this.log('job', 'job-dropped', { job: job.id, owner: job.ownerId, reason, started: job.started, ageMs: Math.round(this.now() - job.acceptedAt), confirmedMsAgo: Number.isFinite(confirmedMsAgo) ? confirmedMsAgo : undefined })
     this.#stopRuns(job)
   }
--- a/packages/fleet/src/owner-registry.ts
+++ b/packages/fleet/src/owner-registry.ts
@@ -16,8 +16,6 @@
 interface OwnerRecord {
   /** Open connections in the order in which they were accepted; messages go to the newest. */
   readonly connections: OwnerConnection[]
-  /** Time at which the owner is certain to have lived, because it has received a message that was sent then. */
-  confirmedAt: number
   /** Time at which no connection was left open; later connections clear it only with a message of the owner. */
   disconnectedAt: number | undefined
   /** Highest sequence number of the owner's connections. */
@@ -28,12 +26,17 @@
 export class OwnerRegistry {
   readonly #owners = new Map<string, OwnerRecord>()
   readonly #welcomedAt = new Map<OwnerConnection, number>()
+  /**
+   * Time at which the owner is certain to have lived and to have had the jobs that it submitted on a connection,
+   * because it has received a message that was sent then on this connection. Kept after the end of the connection.
+   */
+  readonly #confirmedAt = new WeakMap<OwnerConnection, number>()
   /** Open connections over which the owner has answered the welcome, so that it has submitted its jobs on them. */
   readonly #answered = new Set<OwnerConnection>()
 
   /** Adds a connection whose owner is welcomed now. */
   add (connection: OwnerConnection, now: number): void {
-    const owner = this.#owners.get(connection.ownerId) ?? { connections: [], confirmedAt: -Infinity, disconnectedAt: undefined, newestSequence: 0 }
+    const owner = this.#owners.get(connection.ownerId) ?? { connections: [], disconnectedAt: undefined, newestSequence: 0 }
     this.#owners.set(connection.ownerId, owner)
     owner.connections.push(connection)
     owner.newestSequence = Math.max(owner.newestSequence, connection.sequence)
@@ -57,7 +60,7 @@
    * as disconnected since time 0 of the clock, so that it expires.
    */
   trackOwner (ownerId: string): void {
-    if (!this.#owners.has(ownerId)) this.#owners.set(ownerId, { connections: [], confirmedAt: -Infinity, disconnectedAt: 0, newestSequence: 0 })
+    if (!this.#owners.has(ownerId)) this.#owners.set(ownerId, { connections: [], disconnectedAt: 0, newestSequence: 0 })
   }
 
   /**
@@ -70,13 +73,16 @@
   confirm (connection: OwnerConnection, heardSentAt = this.#welcomedAt.get(connection)): void {
     const owner = this.#owners.get(connection.ownerId)
     if (owner === undefined || heardSentAt === undefined) return
-    owner.confirmedAt = Math.max(owner.confirmedAt, heardSentAt)
+    this.#confirmedAt.set(connection, Math.max(this.getConfirmedAt(connection), heardSentAt))
     if (this.#welcomedAt.has(connection)) owner.disconnectedAt = undefined
   }
 
-  /** @returns the time at which the owner is certain to have lived; `-Infinity` for an unknown owner */
-  getConfirmedAt (ownerId: string): number {
-    return this.#owners.get(ownerId)?.confirmedAt ?? -Infinity
+  /**
+   * @param connection - the connection over which an owner submitted a job last
+   * @returns the time at which the owner is certain to have lived and to have had the job; `-Infinity` if there is none
+   */
+  getConfirmedAt (connection: OwnerConnection): number {
+    return this.#confirmedAt.get(connection) ?? -Infinity
   }
 
   /** Records that the owner has received the welcome on a connection, and submitted its jobs on it in reply. */
@@ -89,8 +95,10 @@
    * @returns whether the owner has reconnected without submitting the job again, so that it no longer has it
    */
   hasGivenUp (connection: OwnerConnection): boolean {
-    if (this.#welcomedAt.has(connection)) return false
-    return this.#owners.get(connection.ownerId)?.connections.some(other => this.#answered.has(other)) === true
+    const isOpen = this.#welcomedAt.has(connection)
+    const others = this.#owners.get(connection.ownerId)?.connections ?? []
+    // The end of an earlier connection may be noticed long after the owner has replaced it.
+    return others.some(other => this.#answered.has(other) && (!isOpen || other.sequence > connection.sequence))
   }
 
   /** @returns whether the owner has opened a newer connection, on which it submits all its jobs again */
--- a/packages/fleet/test/dispatcher-fixture.ts
+++ b/packages/fleet/test/dispatcher-fixture.ts
@@ -12,10 +12,13 @@
   readonly info: TargetInfo
   readonly starts: StartOrder[] = []
   readonly stops: StopOrder[] = []
+  /** Latest end of a lease that an order or a poll has requested, on the target's clock. */
+  leaseEndsAt = 0
   running: RunningEntry[] = []
   bornMs = 1
   isReachable = true
   answersStarts = true
+  answersStops = true
   /** Clock of the test at which the target's clock was 0. */
   startedAt = 0
 
@@ -36,19 +39,21 @@
 
   override async start (order: StartOrder, timeoutMs: number): Promise<StartReply> {
     this.#target.starts.push(order)
+    this.#target.leaseEndsAt = Math.max(this.#target.leaseEndsAt, order.deadlineMs)
     if (!this.#target.isReachable || !this.#target.answersStarts) return await this.#resolveAfter(timeoutMs, noAnswer)
     this.#target.running.push({ task: order.task, attempt: order.attempt, percent: 1 })
     return await this.#resolveAfter(roundTripMs, { kind: 'accepted' })
   }
 
   override async stop (order: StopOrder, timeoutMs: number): Promise<StopReply> {
-    if (!this.#target.isReachable) return await this.#resolveAfter(timeoutMs, noAnswer)
+    if (!this.#target.isReachable || !this.#target.answersStops) return await this.#resolveAfter(timeoutMs, noAnswer)
     this.#target.stops.push(order)
     return await this.#resolveAfter(roundTripMs, { kind: 'accepted' })
   }
 
   override async poll (request: PollRequest, timeoutMs: number): Promise<PollReply> {
     if (!this.#target.isReachable) return await this.#resolveAfter(timeoutMs, noAnswer)
+    this.#target.leaseEndsAt = Math.max(this.#target.leaseEndsAt, request.leaseUntil ?? 0)
     await this.#resolveAfter(Math.max(request.waitMs, roundTripMs), undefined)
     const { startedAt, bornMs } = this.#target
     const running = this.#target.running.map(entry => ({ ...entry, percent: Math.min(99, entry.percent + 1) }))
