Leave a repeated job to the owner of the repeat

A caller repeats its job through another instance, which is attached to it at the dispatcher. The first instance may not know yet that its caller has left. Cause: the owner that submitted a job last had it. When the first instance reconnected it took the job back; the cancellation of the second one was then ignored, as the job had another owner, and the run went on beside the next repeat. When the second one had withdrawn the job and run it in another domain, the dispatcher took the first one's submission for a new job and started it as well. Change: the dispatcher records the owner of a repeat with the time of its acceptance, tells the earlier owner that its caller has sent the job again, and refuses its later submissions, also for a while after the job has gone.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -68,6 +68,13 @@
   readonly recordedAt: number
 }
 
+/** The owner to which a caller sent a job last, and the time at which that owner accepted it. */
+interface RecordedRepeat {
+  readonly ownerId: string
+  readonly acceptedAt: number
+  readonly recordedAt: number
+}
+
 /**
  * The jobs, runs and owners of one dispatcher. It maintains two invariants: a task has at most one
  * run that may exist, apart from second runs that were discovered and are being stopped, and a job with
@@ -95,6 +102,8 @@
   readonly #outcomes = new Map<string, RecordedOutcome>()
   /** Rejections by owner and job. */
   readonly #rejections = new Map<string, RecordedRejection>()
+  /** Jobs that were sent again through another instance, by job id. */
+  readonly #repeats = new Map<string, RecordedRepeat>()
   #unreportedDone = new Map<string, number[]>()
 
   constructor (clock: Clock, limits: FleetLimits, log: EventLog, metrics: FleetMetrics) {
@@ -213,6 +222,21 @@
     return this.#rejections.get(formatOwnedKey(job))
   }
 
+  /** Records that an owner has a job that its caller had sent through another instance before. */
+  recordRepeat (jobId: string, ownerId: string, acceptedAt: number): void {
+    this.#repeats.delete(jobId)
+    this.#repeats.set(jobId, { ownerId, acceptedAt, recordedAt: this.now() })
+  }
+
+  /**
+   * @param acceptedAt - time at which the owner accepted the job, in monotonic milliseconds
+   * @returns whether the caller has sent the job again through another instance since this owner accepted it
+   */
+  wasRepeatedElsewhere (jobId: string, ownerId: string, acceptedAt: number): boolean {
+    const repeat = this.#repeats.get(jobId)
+    return repeat !== undefined && repeat.ownerId !== ownerId && acceptedAt < repeat.acceptedAt
+  }
+
   /** Removes a job without an outcome and stops its runs. */
   dropJob (job: DispatchedJob, reason: string): void {
     this.removeJob(job)
@@ -318,10 +342,11 @@
     this.#unreportedDone = new Map()
   }
 
-  /** Removes outcomes and rejections that have been kept for the retention time. */
+  /** Removes outcomes, rejections and repeats that have been kept for the retention time. */
   expireOutcomes (now: number): void {
     expireRecords(this.#outcomes, now)
     expireRecords(this.#rejections, now)
+    expireRecords(this.#repeats, now)
   }
 
   #stopRuns (job: DispatchedJob): void {
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -1,7 +1,7 @@
 import { decideAdmission, selectJobsToShed } from './admission.js'
 import { type DispatchState, type ReleaseEvidence } from './dispatch-state.js'
 import { DispatchedJob } from './dispatched-job.js'
-import { type RejectionReason } from './job-types.js'
+import { type JobOutcome, type RejectionReason } from './job-types.js'
 import { estimateLoad, sumWaitingWork } from './load-estimates.js'
 import { type Submission } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
@@ -14,6 +14,8 @@
 /** Shortest retry delay in milliseconds that a caller is told. */
 const minRetryMs = 100
 
+const repeatedElsewhere: JobOutcome = { kind: 'unknown', reason: 'repeated-elsewhere' }
+
 /** A request of an owner about one of its jobs. */
 export interface OwnersRequest {
   readonly jobId: string
@@ -43,9 +45,10 @@
    */
   handleSubmission (connection: OwnerConnection, submission: Submission, findReleaseEvidence: (job: DispatchedJob) => ReleaseEvidence | undefined): void {
     const state = this.#state
+    if (this.#refuseEarlierOwner(connection, submission)) return
     const known = state.jobs.get(submission.job.id)
     if (known !== undefined) {
-      this.#attachOwner(connection, known, submission.submissionId)
+      this.#attachOwner(connection, known, submission)
       return
     }
     const outcome = submission.resubmitted ? state.findOutcome(submission.job.id) : undefined
@@ -127,7 +130,25 @@
     else if (job.hasStartableTask()) state.queue.add(job)
   }
 
-  #attachOwner (connection: OwnerConnection, job: DispatchedJob, submissionId: number | undefined): void {
+  /**
+   * Refuses a job whose caller has sent it again through another instance: this owner doesn't know yet that its
+   * caller has left, and the job is the other one's.
+   *
+   * @returns whether the submission was refused
+   */
+  #refuseEarlierOwner (connection: OwnerConnection, { job, submissionId, ageMs }: Submission): boolean {
+    if (!this.#state.wasRepeatedElsewhere(job.id, connection.ownerId, this.#state.now() - ageMs)) return false
+    this.#state.log('job', 'submission-refused', { job: job.id, owner: connection.ownerId, submission: submissionId, reason: 'repeated-elsewhere', ageMs: Math.round(ageMs) })
+    connection.send({ type: 'ended', jobId: job.id, outcome: repeatedElsewhere, submissionId })
+    return true
+  }
+
+  /** Hands a job over to the owner through which its caller has sent it again, or attaches its owner's next connection. */
+  #attachOwner (connection: OwnerConnection, job: DispatchedJob, { submissionId, ageMs }: Submission): void {
+    if (connection.ownerId !== job.ownerId) {
+      this.#state.recordRepeat(job.id, connection.ownerId, this.#state.now() - ageMs)
+      this.#state.reply(job, { type: 'ended', jobId: job.id, outcome: repeatedElsewhere })
+    }
     this.#state.log('job', 'job-attached', { job: job.id, owner: connection.ownerId, previous: job.ownerId, ageMs: Math.round(this.#state.now() - job.acceptedAt) })
     job.connection = connection
     job.submissionId = submissionId
--- a/packages/fleet/src/job-types.ts
+++ b/packages/fleet/src/job-types.ts
@@ -38,8 +38,8 @@
 export type JobOutcome =
   | { readonly kind: 'completed' }
   | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' }
-  /** Tasks may have started, and the job is not continued. */
-  | { readonly kind: 'unknown', readonly reason: 'start-unconfirmed' }
+  /** Tasks may have started, and the job is not continued for this owner; `repeated-elsewhere`: its caller has sent it again through another instance. */
+  | { readonly kind: 'unknown', readonly reason: 'start-unconfirmed' | 'repeated-elsewhere' }
 
 /** Reason why a dispatcher rejected a job. */
 export type RejectionReason = 'overloaded' | 'not-dispatching' | 'stopping' | 'no-target' | 'fits-no-target'
