Send the list of repeated jobs with the welcome

An instance that is connected to the dispatcher of a running job sends a repeat of that job there, if the dispatcher has listed the job. Cause: the list came with the first heartbeat, up to 200 ms after the welcome and later from a saturated dispatcher, and from the welcome on the instance submitted jobs. A repeat that arrived in between was started in another domain. Change: the welcome carries the list as of the last heartbeat, for owners that ask for it in their hello; to owners of an earlier version the first heartbeat brings it as before.

--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -222,7 +222,7 @@
   #createHello (): OwnerMessage {
     const { self, domain } = this.#options
     this.#streamCount++
-    return { type: 'hello', instance: self.instance, incarnation: self.incarnation, domain, sequence: this.#streamCount }
+    return { type: 'hello', instance: self.instance, incarnation: self.incarnation, domain, sequence: this.#streamCount, expectsList: true }
   }
 
   /** @returns whether this process has a dispatcher of the domain */
@@ -271,6 +271,7 @@
       case 'stopped': this.#previousHasEnded = true; return
       case 'welcome':
         this.#heardSentAt = message.sentAt
+        this.#resetLingering(message.lingering)
         this.#handleWelcome(message.token, endpoint)
         if (this.#connected && message.sentAt !== undefined) this.#replyToHeartbeat(message.sentAt)
         return
@@ -300,7 +301,6 @@
     if (isNew) this.#earlierRunsEndAt = Math.max(this.#earlierRunsEndAt, this.#disconnectedAt + (this.#previousHasEnded ? endedDispatcherRunExpiryMs : lostDispatcherRunExpiryMs))
     this.#previousHasEnded = false
     this.#connected = true
-    this.#listedAt = undefined
     this.#isHolderGone = false
     this.#token = token
     this.#holder = endpoint
@@ -313,6 +313,12 @@
     this.send({ type: 'heartbeat-reply', configurationVersion: this.#options.relay.version, heardSentAt })
   }
 
+  /** Takes over the list that comes with a welcome. A dispatcher of an earlier version sends it with its first heartbeat. */
+  #resetLingering (lingering: readonly string[] | undefined): void {
+    this.#lingering = new Set(lingering)
+    this.#listedAt = lingering === undefined ? undefined : this.#options.clock.now()
+  }
+
   #updateLingering ({ lingering, lingeringAdded = [], lingeringRemoved = [] }: HeartbeatMessage): void {
     if (lingering !== undefined) this.#lingering = new Set(lingering)
     for (const id of lingeringRemoved) this.#lingering.delete(id)
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -129,11 +129,15 @@
     this.#mailbox.schedule()
   }
 
-  /** Registers the connection of an owner and sends it the token. */
-  addOwner (connection: OwnerConnection): void {
+  /**
+   * Registers the connection of an owner and sends it the token.
+   *
+   * @param lingering - ids of jobs that a resubmission may concern, if the owner expects them with the welcome
+   */
+  addOwner (connection: OwnerConnection, lingering?: readonly string[]): void {
     const now = this.#state.now()
     this.#state.owners.add(connection, now)
-    connection.send({ type: 'welcome', token: this.#token, sentAt: now })
+    connection.send({ type: 'welcome', token: this.#token, sentAt: now, ...(lingering === undefined ? {} : { lingering }) })
   }
 
   /** Handles the end of an owner's connection. Its jobs are kept for a while in case it reconnects. */
--- a/packages/fleet/src/heartbeat-source.ts
+++ b/packages/fleet/src/heartbeat-source.ts
@@ -4,7 +4,8 @@
 /**
  * Builds the heartbeats of one dispatcher. A heartbeat is the same for all owners that have received the
  * one before, so its cost does not grow with the number of owners: it carries only the changes of the
- * list of lingering jobs. An owner's first heartbeat carries the whole list.
+ * list of lingering jobs. The welcome carries the whole list; for an owner of an earlier version its first
+ * heartbeat does.
  */
 export class HeartbeatSource {
   readonly #dispatcher: Dispatcher
@@ -14,7 +15,12 @@
     this.#dispatcher = dispatcher
   }
 
-  /** Builds the next heartbeat for owners that have received all heartbeats since their first. */
+  /** @returns the list of lingering jobs as of the last heartbeat; the next one carries the changes since then */
+  listLingering (): readonly string[] {
+    return [...this.#lingering]
+  }
+
+  /** Builds the next heartbeat for owners that have received the list and all heartbeats since. */
   createNext (sentAt: number, configurationVersion: number): HeartbeatMessage {
     const lingering = new Set(this.#dispatcher.listLingering())
     const added = [...lingering].filter(id => !this.#lingering.has(id))
@@ -30,9 +36,9 @@
     }
   }
 
-  /** @returns the heartbeat that was built last, for an owner that has received none yet */
+  /** @returns the heartbeat that was built last, for an owner that has not received the list yet */
   completeForNewOwner (heartbeat: HeartbeatMessage): HeartbeatMessage {
     const { type, sentAt, load, configurationVersion } = heartbeat
-    return { type, sentAt, load, configurationVersion, lingering: [...this.#lingering] }
+    return { type, sentAt, load, configurationVersion, lingering: this.listLingering() }
   }
 }
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -33,8 +33,11 @@
 
 /** Messages from an owner to a dispatcher. */
 export type OwnerMessage =
-  /** `sequence` rises with each connection that the owner opens to the domain; earlier versions omit it. */
-  | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number }
+  /**
+   * `sequence` rises with each connection that the owner opens to the domain; `expectsList` asks for the list of
+   * lingering jobs in the welcome. Earlier versions omit both.
+   */
+  | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number, readonly expectsList?: boolean }
   /** Answers a heartbeat, or the welcome; `heardSentAt` is its `sentAt`. */
   | { readonly type: 'heartbeat-reply', readonly configurationVersion: number, readonly heardSentAt: number }
   /** Asks a dispatcher that has been silent for a pong. `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
@@ -53,7 +56,7 @@
   readonly sentAt: number
   readonly load: LoadSummary
   readonly configurationVersion: number
-  /** Ids of all jobs that a resubmission may concern; only in the first heartbeat on a connection. */
+  /** Ids of all jobs that a resubmission may concern; only on a connection on which the list was not sent yet. */
   readonly lingering?: readonly string[]
   /** Changes of that list since the last heartbeat; absent if there are none. */
   readonly lingeringAdded?: readonly string[]
@@ -63,8 +66,11 @@
 /** Messages from a dispatcher to an owner. */
 export type DispatcherMessage =
   | HeartbeatMessage
-  /** `sentAt` is the dispatcher's monotonic time in milliseconds; earlier versions omit it. */
-  | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number }
+  /**
+   * `sentAt` is the dispatcher's monotonic time in milliseconds. `lingering` holds the ids of all jobs that a
+   * resubmission may concern, as of the last heartbeat; the next one carries the changes. Earlier versions omit both.
+   */
+  | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number, readonly lingering?: readonly string[] }
   /** The dispatcher has stopped: it sends no more orders and renews no leases. */
   | { readonly type: 'stopped' }
   | { readonly type: 'not-dispatching', readonly incarnation: string }
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -31,8 +31,8 @@
   readonly instance: string
   readonly #stream: PeerStream
   lastMessageAt: number
-  /** Whether a heartbeat was sent on the connection. */
-  hasHeartbeat = false
+  /** Whether the list of lingering jobs was sent on the connection. */
+  hasList = false
   lastSentConfigurationVersion = 0
 
   constructor (hello: HelloMessage, stream: PeerStream, now: number) {
@@ -179,7 +179,8 @@
     }
     const connection = new StreamConnection(hello, stream, this.#clock.now())
     this.#connections.set(connection, hello.domain)
-    dispatcher.addOwner(connection)
+    connection.hasList = hello.expectsList === true
+    dispatcher.addOwner(connection, connection.hasList ? this.#heartbeats.get(hello.domain)?.listLingering() : undefined)
     return connection
   }
 
@@ -208,8 +209,8 @@
     const heartbeat = source.createNext(now, this.#relay.version)
     for (const [connection, connectedDomain] of this.#connections) {
       if (connectedDomain !== domain) continue
-      connection.send(connection.hasHeartbeat ? heartbeat : source.completeForNewOwner(heartbeat))
-      connection.hasHeartbeat = true
+      connection.send(connection.hasList ? heartbeat : source.completeForNewOwner(heartbeat))
+      connection.hasList = true
     }
   }
 
--- a/packages/fleet/test/connection-fixture.ts
+++ b/packages/fleet/test/connection-fixture.ts
@@ -14,6 +14,11 @@
   override onLoadChanged (): void {}
 }
 
+/** Reaches no instance. */
+export class SilentConnector extends PeerConnector {
+  override async open (): Promise<PeerOpenResult> { return { kind: 'unreachable', message: 'timeout' } }
+}
+
 /** Connects to whatever dispatcher the test has made the holder; each address may be up, refused or unreachable. */
 class FakePeers extends PeerConnector {
   readonly tokens = new Map<string, number | 'refused'>()
