Count the suspension of a dispatcher's machine against its owners' signs of life

Cause: the monotonic clock does not count the time for which a machine is suspended. A dispatcher took its owners' signs of life for younger than they were by that time, and extended the runs of a lost owner beyond the repeat of its job. A suspension shorter than a lease leaves the runs alive; a longer one has queued tasks of owners started that are long gone. Change: signs of life are measured by the monotonic clock plus the time by which the time of day has run ahead of it. A time of day that is set forward looks the same; it only makes leases wait for the owners' next answers.

--- a/packages/coordination/src/clock.ts
+++ b/packages/coordination/src/clock.ts
@@ -1,3 +1,5 @@
+import { SuspensionDetector } from './suspension-detector.js'
+
 /** Source of time and timers; tests replace it to control time. */
 export abstract class Clock {
   /**
@@ -7,6 +9,16 @@
    */
   abstract now (): number
 
+  /**
+   * Reads the monotonic clock plus all time for which the machine may have been suspended, which the monotonic
+   * clock does not count.
+   *
+   * @returns milliseconds, to be compared only with other readings of this method
+   */
+  readElapsed (): number {
+    return this.now()
+  }
+
   /**
    * Runs a callback once after a delay.
    *
@@ -22,10 +34,17 @@
  * for missing ones.
  */
 export class SystemClock extends Clock {
+  readonly #suspension = new SuspensionDetector()
+
   override now (): number {
     return performance.now()
   }
 
+  override readElapsed (): number {
+    const now = performance.now()
+    return now + this.#suspension.record(now, Date.now())
+  }
+
   override startTimer (delayMs: number, callback: () => void): () => void {
     let immediate: NodeJS.Immediate | undefined
     const timer = setTimeout(() => { immediate = setImmediate(callback) }, delayMs)
--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -120,6 +120,11 @@
     return this.#clock.now()
   }
 
+  /** @returns the time that signs of life of owners are measured by; unlike `now`, it counts suspensions of the machine */
+  readElapsed (): number {
+    return this.#clock.readElapsed()
+  }
+
   log (logClass: 'belief' | 'job' | 'order', event: string, fields: LogFields): void {
     this.#log.log(logClass, event, fields)
   }
@@ -177,7 +182,8 @@
    * @returns monotonic time in milliseconds
    */
   computeRunLimit (job: DispatchedJob): number {
-    return this.owners.getConfirmedAt(job.connection) + this.#limits.resubmitMs - runEndMarginMs
+    const remainingMs = this.owners.getConfirmedAt(job.connection) + this.#limits.resubmitMs - runEndMarginMs - this.readElapsed()
+    return this.now() + remainingMs
   }
 
   /**
@@ -240,7 +246,7 @@
   /** Removes a job without an outcome and stops its runs. */
   dropJob (job: DispatchedJob, reason: string): void {
     this.removeJob(job)
-    const confirmedMsAgo = Math.round(this.now() - this.owners.getConfirmedAt(job.connection))
+    const confirmedMsAgo = Math.round(this.readElapsed() - this.owners.getConfirmedAt(job.connection))
     this.log('job', 'job-dropped', { job: job.id, owner: job.ownerId, reason, started: job.started, ageMs: Math.round(this.now() - job.acceptedAt), confirmedMsAgo: Number.isFinite(confirmedMsAgo) ? confirmedMsAgo : undefined })
     this.#stopRuns(job)
   }
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -135,9 +135,9 @@
    * @param lingering - ids of jobs that a resubmission may concern, if the owner expects them with the welcome
    */
   addOwner (connection: OwnerConnection, lingering?: readonly string[]): void {
-    const now = this.#state.now()
-    this.#state.owners.add(connection, now)
-    connection.send({ type: 'welcome', token: this.#token, sentAt: now, ...(lingering === undefined ? {} : { lingering }) })
+    const sentAt = this.#state.readElapsed()
+    this.#state.owners.add(connection, sentAt)
+    connection.send({ type: 'welcome', token: this.#token, sentAt, ...(lingering === undefined ? {} : { lingering }) })
   }
 
   /** Handles the end of an owner's connection. Its jobs are kept for a while in case it reconnects. */
@@ -178,7 +178,7 @@
   #handleHeartbeat (connection: OwnerConnection, heardSentAt: number | undefined): void {
     const { owners } = this.#state
     // Owners of an earlier version don't send back what they have heard.
-    owners.confirm(connection, heardSentAt ?? this.#state.now())
+    owners.confirm(connection, heardSentAt ?? this.#state.readElapsed())
     if (heardSentAt !== undefined) owners.markAnswered(connection)
   }
 
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -52,7 +52,7 @@
 /** Periodic message of a dispatcher to all its owners, who answer it at once. */
 export interface HeartbeatMessage {
   readonly type: 'heartbeat'
-  /** The dispatcher's monotonic time in milliseconds. */
+  /** The dispatcher's time in milliseconds, by its monotonic clock plus all suspensions of its machine. */
   readonly sentAt: number
   readonly load: LoadSummary
   readonly configurationVersion: number
@@ -67,7 +67,7 @@
 export type DispatcherMessage =
   | HeartbeatMessage
   /**
-   * `sentAt` is the dispatcher's monotonic time in milliseconds. `lingering` holds the ids of all jobs that a
+   * `sentAt` is the dispatcher's time, as in a heartbeat. `lingering` holds the ids of all jobs that a
    * resubmission may concern, as of the last heartbeat; the next one carries the changes. Earlier versions omit both.
    */
   | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number, readonly lingering?: readonly string[] }
@@ -76,7 +76,7 @@
   | { readonly type: 'not-dispatching', readonly incarnation: string }
   /**
    * Answers a ping. `lingering` holds the ids of jobs that a resubmission may concern.
-   * `sentAt` is the dispatcher's monotonic time in milliseconds; earlier versions omit it.
+   * `sentAt` is the dispatcher's time, as in a heartbeat; earlier versions omit it.
    */
   | { readonly type: 'pong', readonly sentAt?: number, readonly load: LoadSummary, readonly lingering?: readonly string[], readonly configurationVersion: number }
   | { readonly type: 'started', readonly jobIds: readonly string[] }
--- a/packages/fleet/src/owner-registry.ts
+++ b/packages/fleet/src/owner-registry.ts
@@ -34,13 +34,17 @@
   /** Open connections over which the owner has answered the welcome, so that it has submitted its jobs on them. */
   readonly #answered = new Set<OwnerConnection>()
 
-  /** Adds a connection whose owner is welcomed now. */
-  add (connection: OwnerConnection, now: number): void {
+  /**
+   * Adds a connection whose owner is welcomed.
+   *
+   * @param welcomedAt - send time of the welcome, by the clock that counts suspensions as all send times are
+   */
+  add (connection: OwnerConnection, welcomedAt: number): void {
     const owner = this.#owners.get(connection.ownerId) ?? { connections: [], disconnectedAt: undefined, newestSequence: 0 }
     this.#owners.set(connection.ownerId, owner)
     owner.connections.push(connection)
     owner.newestSequence = Math.max(owner.newestSequence, connection.sequence)
-    this.#welcomedAt.set(connection, now)
+    this.#welcomedAt.set(connection, welcomedAt)
   }
 
   /** Removes a closed connection, and starts the owner's grace time if it was the last one. */
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -202,11 +202,11 @@
     const isLargeFleet = this.#connections.size > largeFleetOwners
     if (this.#dispatchers.size === 0 || (isLargeFleet && now - this.#lastHeartbeatAt < largeFleetHeartbeatIntervalMs - heartbeatIntervalMs / 2)) return
     this.#lastHeartbeatAt = now
-    for (const [domain, source] of this.#heartbeats) this.#sendHeartbeat(domain, source, now)
+    for (const [domain, source] of this.#heartbeats) this.#sendHeartbeat(domain, source)
   }
 
-  #sendHeartbeat (domain: string, source: HeartbeatSource, now: number): void {
-    const heartbeat = source.createNext(now, this.#relay.version)
+  #sendHeartbeat (domain: string, source: HeartbeatSource): void {
+    const heartbeat = source.createNext(this.#clock.readElapsed(), this.#relay.version)
     for (const [connection, connectedDomain] of this.#connections) {
       if (connectedDomain !== domain) continue
       connection.send(connection.hasList ? heartbeat : source.completeForNewOwner(heartbeat))
@@ -215,7 +215,7 @@
   }
 
   #sendPong (connection: StreamConnection, dispatcher: Dispatcher): void {
-    connection.send({ type: 'pong', sentAt: this.#clock.now(), load: dispatcher.summarizeLoad(), configurationVersion: this.#relay.version, lingering: dispatcher.listLingering() })
+    connection.send({ type: 'pong', sentAt: this.#clock.readElapsed(), load: dispatcher.summarizeLoad(), configurationVersion: this.#relay.version, lingering: dispatcher.listLingering() })
   }
 
   /** Sends the configuration in force to an owner that has an older one, once for each version. */
