--- /dev/null
+++ b/packages/fleet/test/successor-takes-granted-lease-for-lapsed.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { ManualClock } from '@sesamereel/coordination'
+import { defaultFleetLimits } from '../src/index.js'
+import { createDispatcher, createJob, FakeOwnerConnection, FakeTarget } from './dispatcher-fixture.js'
+
+const jobId = '5c0e7a21d94b36f8'
+const unclaimedId = 'aaaaaaaaaaaaaaaa'
+
+/**
+ * The earlier dispatcher of a domain has extended the leases at its targets, which its successor can't know. Guards
+ * against the successor taking an adopted run for lapsed when the target falls silent before it has granted a lease itself.
+ */
+describe('a successor whose target falls silent after its first view', () => {
+  it('starts no task of its runs elsewhere before the lease of the earlier dispatcher has ended', async () => {
+    const clock = new ManualClock()
+    const [silent, other] = [new FakeTarget('silent'), new FakeTarget('other')]
+    // A run that no owner claims withholds the leases of the target.
+    silent.running = [{ task: `${jobId}.0.0.0`, attempt: 1, percent: 10 }, { task: `${unclaimedId}.0.0.0`, attempt: 1, percent: 10 }]
+    const dispatcher = createDispatcher(clock, [silent, other])
+    const connection = new FakeOwnerConnection('owner', 1)
+    dispatcher.addOwner(connection)
+    dispatcher.updateTargets([silent.info, other.info])
+    await clock.advance(5)
+    const viewedAt = clock.now()
+    dispatcher.enqueueMessage(connection, { type: 'submit', job: createJob(jobId), ageMs: 500, resubmitted: true, quietInMs: 1_300, done: [] })
+    await clock.advance(5)
+    silent.isReachable = false
+    let startedAt: number | undefined
+    while (startedAt === undefined && clock.now() < viewedAt + 3_000) {
+      dispatcher.enqueueMessage(connection, { type: 'heartbeat-reply', configurationVersion: 0, heardSentAt: clock.now() })
+      await clock.advance(10)
+      if (other.starts.length > 0) startedAt = clock.now()
+    }
+    dispatcher.stop()
+    assert.ok(startedAt !== undefined, 'the task was never started again')
+    assert.ok(startedAt - viewedAt >= defaultFleetLimits.maxLeaseMs, `the task started elsewhere ${startedAt - viewedAt} ms after the view, beside its earlier run`)
+  })
+})
