Forget the rejection of a job that is admitted later

Cause: a dispatcher keeps a rejection for 5 s, to repeat it to an owner that submits the job again because the reply was lost. When the caller sent the rejected job again and it was admitted, the record stayed; if the owner then lost its connection for so long that the job was dropped, its next submission got the old rejection, and the caller 'not run'. Change: admitting a job forgets the rejection.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -223,6 +223,11 @@
     this.reply(job, { type: 'rejected', jobId: job.id, reason, retryAfterMs })
   }
 
+  /** Forgets the rejection of an earlier submission of a job that is admitted now. */
+  forgetRejection (job: DispatchedJob): void {
+    this.#rejections.delete(formatOwnedKey(job))
+  }
+
   /** @returns the rejection of an earlier submission of the job by the same owner, if there was one lately */
   findRejection (job: DispatchedJob): Rejection | undefined {
     return this.#rejections.get(formatOwnedKey(job))
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -123,6 +123,7 @@
   #addJob (connection: OwnerConnection, job: DispatchedJob, evidence: ReleaseEvidence | undefined): void {
     const state = this.#state
     state.jobs.set(job.id, job)
+    state.forgetRejection(job)
     state.owners.trackOwner(connection.ownerId)
     if (job.isComplete) state.endJob(job, { kind: 'completed' })
     else if (evidence !== undefined) state.releaseUnlocatedTasks(job, evidence, { atSubmission: true })
