--- a/packages/emulator/src/emulated-caller.ts
+++ b/packages/emulator/src/emulated-caller.ts
@@ -4,8 +4,8 @@
 /** Time in milliseconds that a caller waits after its connection broke, or after an unknown answer, before it sends its job again. */
 const resendDelayMs = 1_300
 
-/** How often a caller sends its job again. */
-const maxResends = 2
+/** How often a caller sends its job again by default. */
+const defaultMaxResends = 2
 
 /** Range in milliseconds of the silence of an instance after which a caller gives its connection up. */
 const minPatienceMs = 500
@@ -22,12 +22,15 @@
   readonly #fleet: EmulatedFleet
   readonly #shape: JobShape
   readonly #patienceMs: number
+  readonly #maxResends: number
   #jobId: string | undefined
   #resendCount = 0
 
-  constructor (fleet: EmulatedFleet, shape: JobShape) {
+  /** @param maxResends - how often the caller sends its job again */
+  constructor (fleet: EmulatedFleet, shape: JobShape, maxResends = defaultMaxResends) {
     this.#fleet = fleet
     this.#shape = shape
+    this.#maxResends = maxResends
     this.#patienceMs = fleet.random.pickInteger(minPatienceMs, maxPatienceMs)
   }
 
@@ -61,6 +64,7 @@
         cancelPatience?.()
         cancelPatience = undefined
       },
+      onCallersLost: breakConnection,
       onEnded: areConnectionsClosed => {
         if (areConnectionsClosed) breakConnection()
         else startPatience()
@@ -79,7 +83,7 @@
   }
 
   #scheduleResend (): void {
-    if (this.#resendCount === maxResends) return
+    if (this.#resendCount === this.#maxResends) return
     this.#resendCount++
     this.#fleet.clock.startTimer(resendDelayMs, () => { this.#resend() })
   }
--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from '@sesamereel/coordination'
-import { ConfigurationRelay, defaultFleetLimits, Directory, DispatcherElection, DispatcherConnection, DomainProbe, type InstanceEntry, type JobAnswer, JobOwner, type JobSpec, OwnerServer, NoopLog, NoopMetrics, type StoreRow, type TargetInfo, TargetList } from '@sesamereel/fleet'
+import { ConfigurationRelay, defaultFleetLimits, Directory, DispatcherElection, DispatcherConnection, DomainProbe, type EventLog, type InstanceEntry, type JobAnswer, JobOwner, type JobSpec, OwnerServer, NoopLog, NoopMetrics, type StoreRow, type TargetInfo, TargetList } from '@sesamereel/fleet'
 import { EmulatedConnector, type LateOrders } from './emulated-connector.js'
 import { EmulatedNetwork } from './emulated-network.js'
 import { EmulatedPeerNetwork } from './emulated-peer-network.js'
@@ -21,6 +21,8 @@
   readonly instancesPerDomain: number
   readonly targetsPerDomain: number
   readonly seed: number
+  /** Creates the log of an instance; by default nothing is logged. */
+  readonly createLog?: (instance: string, clock: ManualClock) => EventLog
 }
 
 /** Treats a domain as reachable when the network delivers messages to one of its targets that is up. */
@@ -102,6 +104,11 @@
     this.#peers.resetStreams(instance)
   }
 
+  /** Lets the open connections between an instance and the others fall silent for good; new ones work. */
+  silenceStreams (instance: string): void {
+    this.#peers.silenceStreams(instance)
+  }
+
   /** @returns the instance whose dispatcher of a domain has the highest token, or undefined when there is none */
   findDispatchingInstance (domain: string): string | undefined {
     let latest: { readonly instance: string, readonly token: number } | undefined
@@ -183,7 +190,7 @@
     const { network } = this
     const clock = new EmulatedProcess(this.clock, this.random)
     network.attachProcess(self.instance, clock)
-    const log = new NoopLog()
+    const log = this.#options.createLog?.(self.instance, this.clock) ?? new NoopLog()
     const metrics = new NoopMetrics()
     const limits = defaultFleetLimits
     const store = this.store.connect(self.instance)
--- a/packages/emulator/src/emulated-network.ts
+++ b/packages/emulator/src/emulated-network.ts
@@ -1,5 +1,6 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type EmulatedProcess } from './emulated-process.js'
+import { LinkDelays } from './link-delays.js'
 
 /** One-way latency in milliseconds between two endpoints. */
 const latencyMs = 0.5
@@ -17,6 +18,7 @@
   /** The cuts in force, by direction as `from>to`; a direction may be cut several times over. */
   readonly #cuts = new Map<string, Set<Cut>>()
   readonly #processes = new Map<string, EmulatedProcess>()
+  readonly #delays = new LinkDelays()
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -56,9 +58,19 @@
     return () => { for (const end of ends) end() }
   }
 
-  /** Removes all cuts. */
+  /**
+   * Delays what is sent in one direction, as a full link does; it arrives in order.
+   *
+   * @returns a function that ends this delay and leaves others of the same direction in force
+   */
+  delay (from: string, to: string, ms: number): () => void {
+    return this.#delays.add(from, to, ms)
+  }
+
+  /** Removes all cuts and delays. */
   heal (): void {
     this.#cuts.clear()
+    this.#delays.clear()
   }
 
   /** @returns whether messages in this direction are delivered now */
@@ -78,7 +90,8 @@
    */
   deliver (from: string, to: string, callback: () => void): void {
     if (!this.isOpen(from, to) || this.#processes.get(from)?.hasEnded === true) return
-    this.#clock.startTimer(latencyMs, () => { if (this.isOpen(from, to)) this.receive(to, callback) })
+    const arrivesInMs = this.#delays.scheduleArrival(from, to, this.#clock.now(), latencyMs)
+    this.#clock.startTimer(arrivesInMs, () => { if (this.isOpen(from, to)) this.receive(to, callback) })
   }
 
   /**
--- a/packages/emulator/src/emulated-peer-network.ts
+++ b/packages/emulator/src/emulated-peer-network.ts
@@ -14,6 +14,7 @@
   readonly #to: string
   readonly #network: EmulatedNetwork
   #isOpen = true
+  #isSilent = false
 
   constructor (from: string, to: string, network: EmulatedNetwork) {
     this.#from = from
@@ -23,14 +24,14 @@
 
   readonly send = (message: unknown): void => {
     const copy: unknown = structuredClone(message)
-    if (this.#isOpen) this.#network.deliver(this.#from, this.#to, () => { this.remoteEnd!.receive(copy) })
+    if (this.#isOpen && !this.#isSilent) this.#network.deliver(this.#from, this.#to, () => { this.remoteEnd!.receive(copy) })
   }
 
   readonly close = (reason: string): void => {
     if (!this.#isOpen) return
     this.#isOpen = false
     this.handler?.onClose(reason)
-    this.#network.deliver(this.#from, this.#to, () => { this.remoteEnd!.close('closed by the peer') })
+    if (!this.#isSilent) this.#network.deliver(this.#from, this.#to, () => { this.remoteEnd!.close('closed by the peer') })
   }
 
   /** @returns both ends of the stream with the endpoints that hold them */
@@ -43,15 +44,20 @@
     this.#isOpen = false
   }
 
+  /** Drops all that is sent or received from now on; this end goes on as if the stream were open. */
+  silence (): void {
+    this.#isSilent = true
+  }
+
   /** Emulates the end of the process at this end: nothing more is sent but the reset of the connection. */
   break (): void {
     if (!this.#isOpen) return
     this.#isOpen = false
-    this.#network.deliver(this.#from, this.#to, () => { this.remoteEnd!.close('ECONNRESET') })
+    if (!this.#isSilent) this.#network.deliver(this.#from, this.#to, () => { this.remoteEnd!.close('ECONNRESET') })
   }
 
   receive (message: unknown): void {
-    if (this.#isOpen) this.handler?.onMessage(message)
+    if (this.#isOpen && !this.#isSilent) this.handler?.onMessage(message)
   }
 }
 
@@ -91,6 +97,11 @@
     }
   }
 
+  /** Lets the open streams of an endpoint fall silent for good, without a close at either end; new streams work. */
+  silenceStreams (endpoint: string): void {
+    for (const near of this.#takeStreams(endpoint)) for (const { end } of near.listEnds()) end.silence()
+  }
+
   /** @returns the connector of one instance */
   connect (endpoint: string): PeerConnector {
     return new EmulatedPeerConnector(endpoint, this)
--- a/packages/emulator/src/emulated-process.ts
+++ b/packages/emulator/src/emulated-process.ts
@@ -5,6 +5,8 @@
 export interface ProcessObserver {
   readonly onPaused: () => void
   readonly onResumed: () => void
+  /** The connections to the callers are dead, and the process does not notice it. */
+  readonly onCallersLost: () => void
   /** @param areConnectionsClosed - false when the connections only fall silent, as after a power loss */
   readonly onEnded: (areConnectionsClosed: boolean) => void
 }
@@ -14,9 +16,13 @@
   readonly run: () => void
 }
 
+/** Rounding error in milliseconds of a due time. */
+const timerToleranceMs = 0.001
+
 /**
  * Clock and event loop of one emulated process. While the process is paused or stalled, its due timers
- * and incoming messages wait; afterwards the timers run first, as in Node.js. Its time always advances.
+ * and incoming messages wait; afterwards the timers run first, as in Node.js. Its time advances but
+ * while its machine is suspended.
  */
 export class EmulatedProcess extends Clock {
   readonly #clock: Clock
@@ -28,6 +34,12 @@
   #maxStallMs = 0
   #stalledUntil = 0
   #hasEnded = false
+  /** Time in milliseconds that the process's clock is behind, because it stood still while the machine was suspended. */
+  #clockLagMs = 0
+  /** Time at which the machine was suspended; undefined while it is not. */
+  #suspendedAt: number | undefined
+  /** Timers that came due by the time outside while the machine was suspended. */
+  #suspendedTimers: Array<() => void> = []
 
   constructor (clock: Clock, random: RandomSource) {
     super()
@@ -40,14 +52,21 @@
   get isPaused (): boolean { return this.#pauseCount > 0 }
 
   override now (): number {
-    return this.#clock.now()
+    return (this.#suspendedAt ?? this.#clock.now()) - this.#clockLagMs
   }
 
   override startTimer (delayMs: number, callback: () => void): () => void {
+    const dueAt = this.now() + delayMs
     let isCancelled = false
-    const cancelTimer = this.#clock.startTimer(delayMs, () => {
-      this.#accept({ kind: 'timer', run: () => { if (!isCancelled) callback() } })
-    })
+    let cancelTimer = (): void => {}
+    const onDue = (): void => {
+      if (isCancelled) return
+      if (this.#suspendedAt !== undefined) this.#suspendedTimers.push(onDue)
+      else if (this.now() < dueAt - timerToleranceMs) arm()
+      else this.#accept({ kind: 'timer', run: () => { if (!isCancelled) callback() } })
+    }
+    const arm = (): void => { cancelTimer = this.#clock.startTimer(dueAt - this.now(), onDue) }
+    arm()
     return () => {
       isCancelled = true
       cancelTimer()
@@ -71,6 +90,26 @@
     }
   }
 
+  /**
+   * Suspends the machine: the process is paused and its clock stands still. A machine that is suspended already stays so.
+   *
+   * @returns a function that ends this suspension
+   */
+  suspend (): () => void {
+    if (this.#suspendedAt !== undefined) return () => {}
+    this.#suspendedAt = this.#clock.now()
+    const endPause = this.pause()
+    return () => {
+      if (this.#suspendedAt === undefined) return
+      this.#clockLagMs += this.#clock.now() - this.#suspendedAt
+      this.#suspendedAt = undefined
+      const timers = this.#suspendedTimers
+      this.#suspendedTimers = []
+      endPause()
+      for (const onDue of timers) onDue()
+    }
+  }
+
   /**
    * Makes the process stall again and again, as one that is short of processor time.
    *
@@ -80,6 +119,11 @@
     this.#maxStallMs = maxStallMs
   }
 
+  /** Breaks the connections to the callers without notice to the process, as a reset does that a partition has swallowed. */
+  loseCallers (): void {
+    for (const observer of [...this.#observers]) observer.onCallersLost()
+  }
+
   /** Ends the process: it runs nothing more. */
   end (areConnectionsClosed: boolean): void {
     this.#hasEnded = true
@@ -102,9 +146,9 @@
 
   #accept (work: Work): void {
     if (this.#hasEnded) return
-    const isIdle = this.#waitingWork.length === 0 && !this.isPaused && this.now() >= this.#stalledUntil
-    if (isIdle && this.#maxStallMs > 0) this.#stalledUntil = this.now() + this.#random.pickInteger(0, this.#maxStallMs)
-    if (isIdle && this.now() >= this.#stalledUntil) {
+    const isIdle = this.#waitingWork.length === 0 && !this.isPaused && this.#clock.now() >= this.#stalledUntil
+    if (isIdle && this.#maxStallMs > 0) this.#stalledUntil = this.#clock.now() + this.#random.pickInteger(0, this.#maxStallMs)
+    if (isIdle && this.#clock.now() >= this.#stalledUntil) {
       work.run()
       return
     }
@@ -115,7 +159,7 @@
   #scheduleDrain (): void {
     if (this.#isDrainScheduled || this.isPaused || this.#waitingWork.length === 0) return
     this.#isDrainScheduled = true
-    this.#clock.startTimer(Math.max(0, this.#stalledUntil - this.now()), () => {
+    this.#clock.startTimer(Math.max(0, this.#stalledUntil - this.#clock.now()), () => {
       this.#isDrainScheduled = false
       this.#runNext()
     })
--- a/packages/emulator/src/emulated-store.ts
+++ b/packages/emulator/src/emulated-store.ts
@@ -27,6 +27,8 @@
 /** The platform's metadata store; one revision counter covers all tables. */
 export class EmulatedStore {
   fault: StoreFault = 'none'
+  /** Endpoints whose calls the store refuses while it serves all others. */
+  readonly turnedAway = new Set<string>()
   readonly #clock: Clock
   readonly #network: EmulatedNetwork
   readonly #tables = new Map<string, Table>()
@@ -83,7 +85,7 @@
    * @returns the reply, `refused` when the store is down, or undefined when no reply came in time
    */
   async call<T> (endpoint: string, timeoutMs: number, isWrite: boolean, serve: (reply: (value: T) => void) => void): Promise<T | 'refused' | undefined> {
-    if (this.fault === 'down') {
+    if (this.fault === 'down' || this.turnedAway.has(endpoint)) {
       await new Promise<void>(resolve => { this.#network.getClock(endpoint).startTimer(1, resolve) })
       return 'refused'
     }
--- a/packages/emulator/src/instance-faults.ts
+++ b/packages/emulator/src/instance-faults.ts
@@ -1,11 +1,18 @@
 import { type EmulatedFleet } from './emulated-fleet.js'
 import { pickDomain, pickInstance } from './fault-choice.js'
+import { RollingRestart } from './rolling-restart.js'
 import { TakeoverSeries } from './takeover-series.js'
 
 /** Faults of the instances themselves. */
 export const instanceFaultNames = ['kill', 'power-loss', 'outage', 'outage-domain', 'stop', 'pause', 'slow-instance', 'takeover-series'] as const
 
-export type InstanceFaultName = (typeof instanceFaultNames)[number]
+/** Further faults of the instances, kept apart so that the days of earlier seeds stay as they are. */
+export const furtherInstanceFaultNames = ['rolling-restart', 'slow-fleet', 'suspend'] as const
+
+/** Breaks the connections of callers without notice to their instance; no product can then tell that the caller has left. */
+export const unnoticedFaultNames = ['lose-callers'] as const
+
+export type InstanceFaultName = (typeof instanceFaultNames)[number] | (typeof furtherInstanceFaultNames)[number] | (typeof unnoticedFaultNames)[number]
 
 /** Range in milliseconds of the time after which an instance starts again in an outage of many. */
 const minOutageMs = 300
@@ -15,6 +22,10 @@
 const minStallMs = 50
 const maxStallMs = 300
 
+/** Range in milliseconds of the time for which a machine is suspended. */
+const minSuspensionMs = 200
+const maxSuspensionMs = 1_200
+
 /** Causes faults of randomly picked instances. */
 export class InstanceFaults {
   readonly #fleet: EmulatedFleet
@@ -26,6 +37,8 @@
   /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
   inject (name: InstanceFaultName): (() => void) | undefined {
     if (name === 'takeover-series') return new TakeoverSeries(this.#fleet).start()
+    if (name === 'rolling-restart') return new RollingRestart(this.#fleet).start()
+    if (name === 'slow-fleet') return this.#slowFleet()
     const instance = pickInstance(this.#fleet)
     if (instance === undefined) return undefined
     switch (name) {
@@ -36,6 +49,8 @@
       case 'stop': return this.#stopInstance(instance)
       case 'pause': return this.#fleet.instances.get(instance)!.process.pause()
       case 'slow-instance': return this.#slowInstance(instance)
+      case 'suspend': return this.#suspendInstance(instance)
+      case 'lose-callers': this.#fleet.instances.get(instance)!.process.loseCallers(); return undefined
     }
   }
 
@@ -76,6 +91,17 @@
     return () => { process.setSlowness(0) }
   }
 
+  /** Suspends an instance's machine, mostly for less than a lease, so that runs outlive it. */
+  #suspendInstance (instance: string): undefined {
+    const end = this.#fleet.instances.get(instance)!.process.suspend()
+    this.#fleet.clock.startTimer(this.#fleet.random.pickInteger(minSuspensionMs, maxSuspensionMs), end)
+  }
+
+  #slowFleet (): () => void {
+    const ends = [...this.#fleet.instances.keys()].map(instance => this.#slowInstance(instance))
+    return () => { for (const end of ends) end() }
+  }
+
   /** Starts an instance unless another fault's end has done so. */
   #startInstance (instance: string, domain: string): void {
     if (!this.#fleet.instances.has(instance)) this.#fleet.startInstance(instance, domain)
--- a/packages/emulator/src/network-faults.ts
+++ b/packages/emulator/src/network-faults.ts
@@ -5,7 +5,14 @@
 /** Faults of the network between instances, targets and store. */
 export const networkFaultNames = ['cut-domain', 'cut-instance', 'cut-targets', 'one-way', 'refuse', 'reset-streams', 'store-cut'] as const
 
-export type NetworkFaultName = (typeof networkFaultNames)[number]
+/** Further faults of the network, kept apart so that the days of earlier seeds stay as they are. */
+export const furtherNetworkFaultNames = ['late-links', 'silent-streams', 'store-refuses'] as const
+
+export type NetworkFaultName = (typeof networkFaultNames)[number] | (typeof furtherNetworkFaultNames)[number]
+
+/** Range in milliseconds of the delay of a full link. */
+const minLinkDelayMs = 50
+const maxLinkDelayMs = 1_500
 
 /** Causes faults of the network; the end of each leaves the others in force. */
 export class NetworkFaults {
@@ -25,6 +32,9 @@
       case 'refuse': return this.#refuseStreams()
       case 'reset-streams': return this.#resetStreams()
       case 'store-cut': return this.#cutStore()
+      case 'late-links': return this.#delayLinks()
+      case 'silent-streams': return this.#silenceStreams()
+      case 'store-refuses': return this.#refuseAtStore()
     }
   }
 
@@ -72,4 +82,36 @@
     const { network, instances, random } = this.#fleet
     return network.partition([...instances.keys()].filter(() => random.drawBoolean(0.4)), [storeEndpoint])
   }
+
+  /** Fills the link of an instance in one direction or in both, each with a delay of its own. */
+  #delayLinks (): (() => void) | undefined {
+    const { instances, targets, random } = this.#fleet
+    const instance = pickInstance(this.#fleet)
+    if (instance === undefined) return undefined
+    const others = [...instances.keys(), ...targets.keys(), storeEndpoint].filter(other => other !== instance)
+    const direction = random.pick(['out', 'in', 'both'] as const)
+    const ends: Array<() => void> = []
+    if (direction !== 'in') ends.push(...this.#delayAll(others.map(other => [instance, other])))
+    if (direction !== 'out') ends.push(...this.#delayAll(others.map(other => [other, instance])))
+    return () => { for (const end of ends) end() }
+  }
+
+  #delayAll (directions: ReadonlyArray<readonly [string, string]>): ReadonlyArray<() => void> {
+    const { network, random } = this.#fleet
+    const ms = random.pickInteger(minLinkDelayMs, maxLinkDelayMs)
+    return directions.map(([from, to]) => network.delay(from, to, ms))
+  }
+
+  #silenceStreams (): undefined {
+    const instance = pickInstance(this.#fleet)
+    if (instance !== undefined) this.#fleet.silenceStreams(instance)
+  }
+
+  /** Lets the store turn some of the instances away. */
+  #refuseAtStore (): () => void {
+    const { store, instances, random } = this.#fleet
+    const endpoints = [...instances.keys()].filter(() => random.drawBoolean(0.4))
+    for (const endpoint of endpoints) store.turnedAway.add(endpoint)
+    return () => { for (const endpoint of endpoints) store.turnedAway.delete(endpoint) }
+  }
 }
--- a/packages/emulator/src/random-fault-scenario.ts
+++ b/packages/emulator/src/random-fault-scenario.ts
@@ -3,22 +3,35 @@
 import { DependencyFaults, dependencyFaultNames } from './dependency-faults.js'
 import { joinTarget } from './joining-target.js'
 import { EmulatedCaller, type JobShape } from './emulated-caller.js'
-import { InstanceFaults, instanceFaultNames } from './instance-faults.js'
-import { NetworkFaults, networkFaultNames } from './network-faults.js'
+import { furtherInstanceFaultNames, InstanceFaults, instanceFaultNames, unnoticedFaultNames } from './instance-faults.js'
+import { furtherNetworkFaultNames, NetworkFaults, networkFaultNames } from './network-faults.js'
 
 /** Interval in milliseconds at which jobs are submitted. */
 const submitIntervalMs = 40
 
-/** Probability that a job consists of one long task. */
-const longJobProbability = 0.1
+/** The jobs of a scenario. */
+export interface ScenarioLoad {
+  /** Probability that a job consists of one long task, from 0 to 1. */
+  readonly longJobProbability: number
+  /** How often a caller sends its job again. */
+  readonly maxResends: number
+}
+
+const defaultLoad: ScenarioLoad = { longJobProbability: 0.1, maxResends: 2 }
 
 /** Time in milliseconds after the end of all faults in which the fleet must recover and all jobs must end. */
 const recoveryPeriodMs = 12_000
 
-/** Names of all faults that a random scenario can inject. */
+/** Time in milliseconds by which that period is longer for each time that callers send a job again more often than by default. */
+const recoveryPerResendMs = 9_500
+
+/** Names of the faults that a random scenario injects by default. */
 export const scenarioFaultNames = [...instanceFaultNames, ...networkFaultNames, ...dependencyFaultNames, 'join'] as const
 
-export type FaultName = (typeof scenarioFaultNames)[number]
+/** Names of all faults that a random scenario can inject. */
+export const allFaultNames = [...scenarioFaultNames, ...furtherInstanceFaultNames, ...furtherNetworkFaultNames, ...unnoticedFaultNames] as const
+
+export type FaultName = (typeof allFaultNames)[number]
 
 /** Outcome of a random fault scenario. */
 export interface ScenarioResult {
@@ -40,10 +53,12 @@
   readonly #networkFaults: NetworkFaults
   readonly #dependencyFaults: DependencyFaults
   readonly #schedule: FaultSchedule<FaultName>
+  readonly #load: ScenarioLoad
 
   /** @param faultNames - the faults to choose from */
-  constructor (fleet: EmulatedFleet, faultNames: readonly FaultName[] = scenarioFaultNames) {
+  constructor (fleet: EmulatedFleet, faultNames: readonly FaultName[] = scenarioFaultNames, load = defaultLoad) {
     this.#fleet = fleet
+    this.#load = load
     this.#instanceFaults = new InstanceFaults(fleet)
     this.#networkFaults = new NetworkFaults(fleet)
     const { store, targets, lateOrders, random } = fleet
@@ -67,7 +82,7 @@
       await fleet.advance(submitIntervalMs)
     }
     this.#schedule.endExpiredFaults(Infinity)
-    await fleet.advance(recoveryPeriodMs)
+    await fleet.advance(recoveryPeriodMs + recoveryPerResendMs * Math.max(0, this.#load.maxResends - defaultLoad.maxResends))
     const isRecovered = await this.#checkRecovery()
     return { violations: fleet.history.listViolations(), completedFraction: fleet.history.computeCompletedFraction(), faults: this.#schedule.faults, reservedRuns: this.#countReservedRuns(), isRecovered }
   }
@@ -76,7 +91,7 @@
     const { random, instances } = this.#fleet
     const instance = random.pick([...instances.keys()])
     if (instance === undefined) return
-    const caller = new EmulatedCaller(this.#fleet, this.#pickShape())
+    const caller = new EmulatedCaller(this.#fleet, this.#pickShape(), this.#load.maxResends)
     const abandon = caller.send(instance)
     if (random.drawBoolean(0.05)) this.#fleet.clock.startTimer(random.pickInteger(20, 500), abandon)
   }
@@ -84,15 +99,15 @@
   /** Picks the size of a job; a few run so long that a repeat may meet their first run. */
   #pickShape (): JobShape {
     const { random } = this.#fleet
-    if (random.drawBoolean(longJobProbability)) return { tasks: 1, workMs: random.pickInteger(1_000, 4_000) }
+    if (random.drawBoolean(this.#load.longJobProbability)) return { tasks: 1, workMs: random.pickInteger(1_000, 4_000) }
     return { tasks: random.pickInteger(1, 4), workMs: random.pickInteger(40, 700) }
   }
 
   /** @returns a function that ends the fault, or undefined when it has no duration or could not be injected */
   #inject (name: FaultName): (() => void) | undefined {
-    if (isFault(instanceFaultNames, name)) return this.#instanceFaults.inject(name)
+    if (isFault([...instanceFaultNames, ...furtherInstanceFaultNames, ...unnoticedFaultNames], name)) return this.#instanceFaults.inject(name)
     if (name === 'join') return joinTarget(this.#fleet)
-    if (isFault(networkFaultNames, name)) return this.#networkFaults.inject(name)
+    if (isFault([...networkFaultNames, ...furtherNetworkFaultNames], name)) return this.#networkFaults.inject(name)
     return this.#dependencyFaults.inject(name)
   }
 
--- a/packages/emulator/test/emulated-caller.test.ts
+++ b/packages/emulator/test/emulated-caller.test.ts
@@ -44,6 +44,22 @@
     }
   })
 
+  it('sends its job again 1,300 ms after its connection died, of which the instance notices nothing', async () => {
+    const fleet = await startFleet()
+    const caller = new EmulatedCaller(fleet, { tasks: 1, workMs: 2_000 })
+    caller.send('a-0')
+    await fleet.advance(100)
+    fleet.instances.get('a-0')!.process.loseCallers()
+    await fleet.advance(1_290)
+    assert.equal(caller.resendCount, 1)
+    assert.equal(fleet.instances.get('a-0')!.owner.jobCount, 1)
+    await fleet.advance(2_000)
+    // The instance also answers over the dead connection.
+    assert.deepEqual(fleet.history.answers.map(entry => entry.answer.kind), ['completed', 'completed'])
+    assert.equal(fleet.history.runs.length, 1)
+    assert.deepEqual(fleet.history.listViolations(), [])
+  })
+
   it('sends its job again twice at most', async () => {
     const fleet = await startFleet()
     const caller = new EmulatedCaller(fleet, { tasks: 1, workMs: 5_000 })
--- a/packages/emulator/test/emulated-network.test.ts
+++ b/packages/emulator/test/emulated-network.test.ts
@@ -42,6 +42,26 @@
   })
 })
 
+describe('a delayed link', () => {
+  it('delivers late and in order, also what is sent after the end of the delay', async () => {
+    const clock = new ManualClock()
+    const network = new EmulatedNetwork(clock)
+    const received: Array<readonly [number, number]> = []
+    const send = (message: number): void => { network.deliver('x', 'y', () => received.push([message, clock.now()])) }
+    const startedAt = clock.now()
+    const end = network.delay('x', 'y', 300)
+    send(1)
+    end()
+    await clock.advance(100)
+    send(2)
+    network.deliver('y', 'x', () => received.push([3, clock.now()]))
+    await clock.advance(400)
+    send(4)
+    await clock.advance(100)
+    assert.deepEqual(received.map(([message, at]) => [message, at - startedAt]), [[3, 100.5], [1, 300.5], [2, 300.5], [4, 500.5]])
+  })
+})
+
 describe('the streams between emulated instances', () => {
   async function listCloses (disturb: (network: EmulatedPeerNetwork) => void): Promise<readonly string[]> {
     const clock = new ManualClock()
@@ -59,9 +79,10 @@
     return [...closes, (await again).kind]
   }
 
-  it('close when the process ends or the stream is reset, and only fall silent after a power loss', async () => {
+  it('close when the process ends or the stream is reset, and only fall silent after a power loss or when they are silenced', async () => {
     assert.deepEqual(await listCloses(peers => { peers.removeServer('y') }), ['ECONNRESET', 'refused'])
     assert.deepEqual(await listCloses(peers => { peers.resetStreams('y') }), ['ECONNRESET', 'open'])
     assert.deepEqual(await listCloses(peers => { peers.powerOff('y') }), ['unreachable'])
+    assert.deepEqual(await listCloses(peers => { peers.silenceStreams('y') }), ['open'])
   })
 })
--- a/packages/emulator/test/emulated-process.test.ts
+++ b/packages/emulator/test/emulated-process.test.ts
@@ -28,6 +28,23 @@
     assert.deepEqual(events, ['timer', 'first message', 'second message'])
   })
 
+  it('has a clock that stands still, and timers that come due as much later, while its machine is suspended', async () => {
+    const { clock, process } = createProcess()
+    const startedAt = clock.now()
+    const firedAt: number[] = []
+    process.startTimer(100, () => firedAt.push(clock.now() - startedAt))
+    process.startTimer(1_000, () => firedAt.push(clock.now() - startedAt))
+    await clock.advance(50)
+    const end = process.suspend()
+    await clock.advance(400)
+    assert.equal(process.now() - startedAt, 50)
+    end()
+    assert.equal(process.now() - startedAt, 50)
+    await clock.advance(1_000)
+    assert.deepEqual(firedAt, [500, 1_400])
+    assert.equal(process.now() - startedAt, 1_050)
+  })
+
   it('does not run a timer that is cancelled while it waits', async () => {
     const { clock, process } = createProcess()
     const resume = process.pause()
