Keep a repeated job with its newer owner, whichever submits it last

The dispatcher compared the ages only with recorded repeats, so that the owner whose caller had left got the job, and the one whose caller waited was told that its caller had sent it again: a 504 to the live caller, whose next repeat could start beside the run. Change: a submission is compared with the acceptance of the job's present owner as well.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -68,10 +68,10 @@
   readonly recordedAt: number
 }
 
-/** The owner to which a caller sent a job last, and the time at which that owner accepted it. */
+/** The owner to which a caller sent a job last, and the time at which that owner accepted it, by the clock that counts suspensions. */
 interface RecordedRepeat {
   readonly ownerId: string
-  readonly acceptedAt: number
+  readonly acceptedElapsed: number
   readonly recordedAt: number
 }
 
@@ -233,19 +233,19 @@
     return this.#rejections.get(formatOwnedKey(job))
   }
 
-  /** Records that an owner has a job that its caller had sent through another instance before. */
-  recordRepeat (jobId: string, ownerId: string, acceptedAt: number): void {
-    this.#repeats.delete(jobId)
-    this.#repeats.set(jobId, { ownerId, acceptedAt, recordedAt: this.now() })
+  /** Records that the owner of a job has it by a repeat of the caller, who had sent it through another instance before. */
+  recordRepeat ({ id, ownerId, ownerAcceptedElapsed }: DispatchedJob): void {
+    this.#repeats.delete(id)
+    this.#repeats.set(id, { ownerId, acceptedElapsed: ownerAcceptedElapsed, recordedAt: this.now() })
   }
 
   /**
-   * @param acceptedAt - time at which the owner accepted the job, in monotonic milliseconds
+   * @param acceptedElapsed - time at which the owner accepted the job, by the clock that counts suspensions
    * @returns whether the caller has sent the job again through another instance since this owner accepted it
    */
-  wasRepeatedElsewhere (jobId: string, ownerId: string, acceptedAt: number): boolean {
+  wasRepeatedElsewhere (jobId: string, ownerId: string, acceptedElapsed: number): boolean {
     const repeat = this.#repeats.get(jobId)
-    return repeat !== undefined && repeat.ownerId !== ownerId && acceptedAt < repeat.acceptedAt
+    return repeat !== undefined && repeat.ownerId !== ownerId && acceptedElapsed < repeat.acceptedElapsed
   }
 
   /** Removes a job without an outcome and stops its runs. */
--- a/packages/fleet/src/dispatched-job.ts
+++ b/packages/fleet/src/dispatched-job.ts
@@ -26,6 +26,10 @@
 export class DispatchedJob implements QueuedJob {
   readonly spec: JobSpec
   readonly acceptedAt: number
+  /** Time at which its first owner accepted the job, by the clock that counts suspensions. */
+  readonly acceptedElapsed: number
+  /** The same for its present owner, which is another one after a repeat. */
+  ownerAcceptedElapsed: number
   readonly objectiveAt: number
   readonly usefulUntil: number
   readonly receivedAt: number
@@ -47,7 +51,8 @@
   readonly #stepOffsets: readonly number[]
   #remainingTasks: number
 
-  constructor (submission: Submission, connection: OwnerConnection, now: number) {
+  /** @param elapsed - time at which it was received, by the clock that counts suspensions */
+  constructor (submission: Submission, connection: OwnerConnection, now: number, elapsed = now) {
     const { job } = submission
     this.spec = job
     this.connection = connection
@@ -55,6 +60,8 @@
     this.receivedAt = now
     this.earlierRunsEndAt = now + submission.quietInMs
     this.acceptedAt = now - submission.ageMs
+    this.acceptedElapsed = elapsed - submission.ageMs
+    this.ownerAcceptedElapsed = this.acceptedElapsed
     this.objectiveAt = this.acceptedAt + job.objectiveMs
     this.usefulUntil = this.acceptedAt + job.usefulMs
     this.started = submission.resubmitted
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -56,7 +56,7 @@
       connection.send({ type: 'ended', jobId: submission.job.id, outcome, submissionId: submission.submissionId })
       return
     }
-    const job = new DispatchedJob(submission, connection, state.now())
+    const job = new DispatchedJob(submission, connection, state.now(), state.readElapsed())
     const hasKnownRuns = this.#adoptKnownRuns(job)
     if (this.#hasUnconfirmedStart(job)) {
       state.reply(job, { type: 'ended', jobId: job.id, outcome: { kind: 'unknown', reason: 'start-unconfirmed' } })
@@ -138,7 +138,12 @@
    * @returns whether the submission was refused
    */
   #refuseEarlierOwner (connection: OwnerConnection, { job, submissionId, ageMs }: Submission): boolean {
-    if (!this.#state.wasRepeatedElsewhere(job.id, connection.ownerId, this.#state.now() - ageMs)) return false
+    const { jobs } = this.#state
+    const acceptedElapsed = this.#state.readElapsed() - ageMs
+    const known = jobs.get(job.id)
+    // The owner of the repeat may have submitted the job first, after a takeover.
+    if (known !== undefined && known.ownerId !== connection.ownerId && acceptedElapsed < known.ownerAcceptedElapsed) this.#state.recordRepeat(known)
+    if (!this.#state.wasRepeatedElsewhere(job.id, connection.ownerId, acceptedElapsed)) return false
     this.#state.log('job', 'submission-refused', { job: job.id, owner: connection.ownerId, submission: submissionId, reason: 'repeated-elsewhere', ageMs: Math.round(ageMs) })
     connection.send({ type: 'ended', jobId: job.id, outcome: repeatedElsewhere, submissionId })
     return true
@@ -146,13 +151,15 @@
 
   /** Hands a job over to the owner through which its caller has sent it again, or attaches its owner's next connection. */
   #attachOwner (connection: OwnerConnection, job: DispatchedJob, { submissionId, ageMs }: Submission): void {
-    if (connection.ownerId !== job.ownerId) {
-      this.#state.recordRepeat(job.id, connection.ownerId, this.#state.now() - ageMs)
+    const isRepeat = connection.ownerId !== job.ownerId
+    if (isRepeat) {
+      job.ownerAcceptedElapsed = this.#state.readElapsed() - ageMs
       this.#state.reply(job, { type: 'ended', jobId: job.id, outcome: repeatedElsewhere })
     }
     this.#state.log('job', 'job-attached', { job: job.id, owner: connection.ownerId, previous: job.ownerId, ageMs: Math.round(this.#state.now() - job.acceptedAt) })
     job.connection = connection
     job.submissionId = submissionId
+    if (isRepeat) this.#state.recordRepeat(job)
     this.#state.owners.trackOwner(connection.ownerId)
     if (job.started) connection.send({ type: 'started', jobIds: [job.id] })
     const done = job.listDone()
