Count suspensions in the age of jobs

The age of a job decides which of two owners has it, and when it is listed for repeats. Cause: an owner whose machine was suspended stated an age that was too small by that time, and could take a repeated job back; a dispatcher listed a job too late by the time of its own suspension, so that a repeat could meet no list. Change: both count by the clock that counts suspensions. The timeout of a caller still counts by the monotonic clock, as a time of day that is set forward must not end jobs.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -163,10 +163,10 @@
    */
   listLingering (): readonly string[] {
     const { jobs, runs, owners } = this.#state
-    const acceptedBefore = this.#state.now() - this.#options.limits.resubmitMs + resubmitMarginMs
+    const acceptedBefore = this.#state.readElapsed() - this.#options.limits.resubmitMs + resubmitMarginMs
     const ids = new Set<string>()
     for (const job of jobs.values()) {
-      if (job.acceptedAt < acceptedBefore || !owners.isConnected(job.ownerId)) ids.add(job.id)
+      if (job.acceptedElapsed < acceptedBefore || !owners.isConnected(job.ownerId)) ids.add(job.id)
     }
     for (const { run } of runs.values()) {
       const jobId = run.name?.jobId
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -89,7 +89,7 @@
    */
   submit (spec: JobSpec, callerTimeoutMs: number): JobHandle {
     const known = this.#jobs.get(spec.id)
-    const job = known ?? new OwnedJob(spec, callerTimeoutMs, this.#options.clock.now())
+    const job = known ?? new OwnedJob(spec, callerTimeoutMs, this.#options.clock.now(), this.#options.clock.readElapsed())
     let waiter: (answer: JobAnswer) => void = () => {}
     const answer = new Promise<JobAnswer>(resolve => { waiter = resolve })
     job.addWaiter(waiter)
@@ -207,6 +207,7 @@
 
   #submitTo (job: OwnedJob, connection: DispatcherConnection, resubmitted: boolean): void {
     const now = this.#options.clock.now()
+    const ageMs = this.#options.clock.readElapsed() - job.acceptedElapsed
     const { load, domain, token } = connection
     const last = job.location.kind === 'none' ? undefined : job.location
     const isSameDispatcher = last?.domain === domain && last.token === token
@@ -214,9 +215,9 @@
     const submissionId = ++this.#lastSubmissionId
     job.location = { kind: 'submitted', domain, token, submissionId, submittedAt: now, isFirstDispatcher }
     const quietInMs = resubmitted ? Math.round(connection.measureQuietMs()) : 0
-    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(now - job.acceptedAt), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs, listAgeMs: roundOptional(connection.measureListAgeMs()), unlisted: this.#countUnlisted() })
+    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(ageMs), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs, listAgeMs: roundOptional(connection.measureListAgeMs()), unlisted: this.#countUnlisted() })
     connection.reserveProcessors(job.demand.processors)
-    connection.send({ type: 'submit', submissionId, job: job.spec, ageMs: now - job.acceptedAt, resubmitted, quietInMs, done: [...job.done] })
+    connection.send({ type: 'submit', submissionId, job: job.spec, ageMs, resubmitted, quietInMs, done: [...job.done] })
   }
 
   #handleRejection (connection: DispatcherConnection, { jobId, submissionId, reason, retryAfterMs }: Reply<'rejected'>): void {
--- a/packages/fleet/src/owned-job.ts
+++ b/packages/fleet/src/owned-job.ts
@@ -31,6 +31,8 @@
 export class OwnedJob {
   readonly spec: JobSpec
   readonly acceptedAt: number
+  /** The same by the clock that counts suspensions. */
+  readonly acceptedElapsed: number
   /** Time in milliseconds that the first caller waits for the answer. */
   readonly callerTimeoutMs: number
   readonly demand: JobDemand
@@ -45,10 +47,11 @@
   retryAfterMs = 0
   readonly #waiters = new Set<(answer: JobAnswer) => void>()
 
-  constructor (spec: JobSpec, callerTimeoutMs: number, now: number) {
+  constructor (spec: JobSpec, callerTimeoutMs: number, now: number, elapsed: number) {
     this.spec = spec
     this.callerTimeoutMs = callerTimeoutMs
     this.acceptedAt = now
+    this.acceptedElapsed = elapsed
     this.demand = computeDemand(spec)
   }
 
