Read the monotonic clock before the clock that counts suspensions

The test failed before: 'the runs may outlive the last sign of life by more than the resubmission time'.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -182,8 +182,9 @@
    * @returns monotonic time in milliseconds
    */
   computeRunLimit (job: DispatchedJob): number {
-    const remainingMs = this.owners.getConfirmedAt(job.connection) + this.#limits.resubmitMs - runEndMarginMs - this.readElapsed()
-    return this.now() + remainingMs
+    // Read first: a pause between the two readings makes the limit earlier.
+    const now = this.now()
+    return now + this.owners.getConfirmedAt(job.connection) + this.#limits.resubmitMs - runEndMarginMs - this.readElapsed()
   }
 
   /**
