Wait for a lost dispatcher that listed a job before running it elsewhere

Change: the job is submitted once the domain has a dispatcher again, at the latest when no run of it can exist there any more; until then it counts as one that may have started. A job that is found on a list is submitted as one that may have runs.

--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -192,12 +192,18 @@
 
   /** Submits a job without a dispatcher: to one that may still hold it, else to the domain with the shortest expected wait. */
   #assignDispatcher (job: OwnedJob): void {
-    const connected = [...this.#connections.values()].filter(connection => connection.isConnected)
-    const holder = connected.find(connection => connection.isLingering(job.spec.id) && !job.rejectedBy.has(connection.domain))
-    const options = connected
+    const holder = this.#findHolder(job)
+    if (holder !== undefined) {
+      if (holder.isConnected) this.#submitTo(job, holder, true)
+      // It is submitted once the domain has a dispatcher again, or no run of it can exist there any more.
+      else job.mayHaveStarted = true
+      return
+    }
+    const options = [...this.#connections.values()]
+      .filter(connection => connection.isConnected)
       .filter(connection => !job.rejectedBy.has(connection.domain))
       .map(connection => ({ domain: connection.domain, load: connection.load, isHome: connection.domain === this.#options.homeDomain }))
-    const chosen = holder?.domain ?? chooseDomain(options, job.demand)?.domain
+    const chosen = chooseDomain(options, job.demand)?.domain
     if (chosen === undefined) {
       if (job.rejectedBy.size > 0) this.#answerJob(job, createRejection(job, 'overloaded'))
       return
@@ -205,6 +211,12 @@
     this.#submitTo(job, this.#connections.get(chosen)!, job.mayHaveStarted)
   }
 
+  /** @returns the connection to a dispatcher that lists the job, or that did so before it was lost; a connected one first */
+  #findHolder (job: OwnedJob): DispatcherConnection | undefined {
+    const holders = [...this.#connections.values()].filter(({ domain }) => !job.rejectedBy.has(domain)).filter(connection => connection.isLingering(job.spec.id))
+    return holders.find(({ isConnected }) => isConnected) ?? holders.find(connection => connection.measureLostMs() <= lostDispatcherRunExpiryMs)
+  }
+
   #submitTo (job: OwnedJob, connection: DispatcherConnection, resubmitted: boolean): void {
     const now = this.#options.clock.now()
     const ageMs = this.#options.clock.readElapsed() - job.acceptedElapsed
