--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -68,10 +68,10 @@
   readonly recordedAt: number
 }
 
-/** The owner to which a caller sent a job last, and the time at which that owner accepted it. */
+/** The owner to which a caller sent a job last, and the time at which that owner accepted it, by the clock that counts suspensions. */
 interface RecordedRepeat {
   readonly ownerId: string
-  readonly acceptedAt: number
+  readonly acceptedElapsed: number
   readonly recordedAt: number
 }
 
@@ -182,8 +182,9 @@
    * @returns monotonic time in milliseconds
    */
   computeRunLimit (job: DispatchedJob): number {
-    const remainingMs = this.owners.getConfirmedAt(job.connection) + this.#limits.resubmitMs - runEndMarginMs - this.readElapsed()
-    return this.now() + remainingMs
+    // Read first: a pause between the two readings makes the limit earlier.
+    const now = this.now()
+    return now + this.owners.getConfirmedAt(job.connection) + this.#limits.resubmitMs - runEndMarginMs - this.readElapsed()
   }
 
   /**
@@ -223,24 +224,29 @@
     this.reply(job, { type: 'rejected', jobId: job.id, reason, retryAfterMs })
   }
 
+  /** Forgets the rejection of an earlier submission of a job that is admitted now. */
+  forgetRejection (job: DispatchedJob): void {
+    this.#rejections.delete(formatOwnedKey(job))
+  }
+
   /** @returns the rejection of an earlier submission of the job by the same owner, if there was one lately */
   findRejection (job: DispatchedJob): Rejection | undefined {
     return this.#rejections.get(formatOwnedKey(job))
   }
 
-  /** Records that an owner has a job that its caller had sent through another instance before. */
-  recordRepeat (jobId: string, ownerId: string, acceptedAt: number): void {
-    this.#repeats.delete(jobId)
-    this.#repeats.set(jobId, { ownerId, acceptedAt, recordedAt: this.now() })
+  /** Records that the owner of a job has it by a repeat of the caller, who had sent it through another instance before. */
+  recordRepeat ({ id, ownerId, ownerAcceptedElapsed }: DispatchedJob): void {
+    this.#repeats.delete(id)
+    this.#repeats.set(id, { ownerId, acceptedElapsed: ownerAcceptedElapsed, recordedAt: this.now() })
   }
 
   /**
-   * @param acceptedAt - time at which the owner accepted the job, in monotonic milliseconds
+   * @param acceptedElapsed - time at which the owner accepted the job, by the clock that counts suspensions
    * @returns whether the caller has sent the job again through another instance since this owner accepted it
    */
-  wasRepeatedElsewhere (jobId: string, ownerId: string, acceptedAt: number): boolean {
+  wasRepeatedElsewhere (jobId: string, ownerId: string, acceptedElapsed: number): boolean {
     const repeat = this.#repeats.get(jobId)
-    return repeat !== undefined && repeat.ownerId !== ownerId && acceptedAt < repeat.acceptedAt
+    return repeat !== undefined && repeat.ownerId !== ownerId && acceptedElapsed < repeat.acceptedElapsed
   }
 
   /** Removes a job without an outcome and stops its runs. */
--- a/packages/fleet/test/late-earlier-owner-takes-repeated-job.test.ts
+++ b/packages/fleet/test/late-earlier-owner-takes-repeated-job.test.ts
@@ -12,7 +12,7 @@
  * doesn't know that its caller has left. Guards against answering the caller that waits and running the job for the one that has left.
  */
 describe('the earlier owner of a repeated job that submits it last', () => {
-  it('does not take it from the owner of the repeat', { todo: 'KNOWN-RED.txt, issue 26' }, async () => {
+  it('does not take it from the owner of the repeat', async () => {
     const clock = new ManualClock()
     const target = new FakeTarget('t')
     const dispatcher = createDispatcher(clock, [target])
--- a/packages/fleet/test/stale-rejection-of-started-job.test.ts
+++ b/packages/fleet/test/stale-rejection-of-started-job.test.ts
@@ -12,7 +12,7 @@
  * that no task of it has started, because the earlier rejection is still on record.
  */
 describe('a job that was rejected once and has run since', () => {
-  it('is not rejected as one that never ran when its owner submits it again', { todo: 'KNOWN-RED.txt, issue 26' }, async () => {
+  it('is not rejected as one that never ran when its owner submits it again', async () => {
     const clock = new ManualClock()
     const target = new FakeTarget('t')
     const dispatcher = createDispatcher(clock, [target])
--- a/packages/fleet/test/suspended-owner-understates-job-age.test.ts
+++ b/packages/fleet/test/suspended-owner-understates-job-age.test.ts
@@ -19,7 +19,7 @@
  * machine was suspended meanwhile, stating an age that makes it the younger one.
  */
 describe('an owner whose machine was suspended', () => {
-  it('counts the suspension in the age of its jobs', { todo: 'KNOWN-RED.txt, issue 26' }, () => {
+  it('counts the suspension in the age of its jobs', () => {
     const clock = new SuspendableClock()
     const home = new FakeConnection('a')
     const owner = createOwner(clock, [home])
@@ -36,7 +36,7 @@
 
 /** Guards against a repeat meeting no list, because the dispatcher takes the job for younger than it is. */
 describe('a dispatcher whose machine was suspended while it has a job', () => {
-  it('lists the job once it may be repeated', { todo: 'KNOWN-RED.txt, issue 26' }, async () => {
+  it('lists the job once it may be repeated', async () => {
     const clock = new SuspendableClock()
     const target = new FakeTarget('t')
     const dispatcher = createDispatcher(clock, [target])
