Carry out a cancellation that arrives on a replaced connection

A cancellation among them was ignored, while the heartbeat replies behind it still counted as signs of life of the job. A cancellation names its submission, so it can't hit a later one.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -183,8 +183,9 @@
   }
 
   #handleMessage (connection: OwnerConnection, message: OwnerMessage): void {
-    // The owner submits all its jobs again on its newest connection.
-    if (this.#state.owners.isSuperseded(connection)) {
+    // The owner submits all its jobs again on its newest connection, but not those that it has cancelled before.
+    const isCancellation = message.type === 'cancel' && message.submissionId !== undefined
+    if (!isCancellation && this.#state.owners.isSuperseded(connection)) {
       this.#state.log('job', 'message-ignored', { owner: connection.ownerId, type: message.type, reason: 'superseded connection' })
       return
     }
--- a/packages/fleet/test/superseded-connection-extends-cancelled-run.test.ts
+++ b/packages/fleet/test/superseded-connection-extends-cancelled-run.test.ts
@@ -14,7 +14,7 @@
  * ignoring a cancellation there while the heartbeat replies behind it still count as signs of life of the job.
  */
 describe('an owner that has cancelled a job on a connection that it has replaced since', () => {
-  it('extends no lease of the job by what it answered on that connection after the cancellation', { todo: 'KNOWN-RED.txt, issue 26' }, async () => {
+  it('extends no lease of the job by what it answered on that connection after the cancellation', async () => {
     const clock = new ManualClock()
     const target = new FakeTarget('t')
     const dispatcher = createDispatcher(clock, [target])
