Tell the owner of a job that it was cancelled through another instance

Change: the cancellation is an outcome, which is sent to the owner and recorded like any other. The test failed before: 'the cancelled job was started again'.

--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -91,10 +91,10 @@
     this.#state.log('job', 'cancellation-ignored', { job: jobId, owner: connection.ownerId, submission: submissionId, holder: known.ownerId, newest: known.submissionId })
   }
 
-  /** Drops a job regardless of its owner, and replies whether it was known. */
+  /** Ends a job regardless of its owner, and replies whether it was known. */
   cancelAny (connection: OwnerConnection, jobId: string): void {
     const job = this.#state.jobs.get(jobId)
-    if (job !== undefined) this.#state.dropJob(job, 'cancelled by a caller')
+    if (job !== undefined) this.#state.endJob(job, { kind: 'failed', reason: 'cancelled' })
     connection.send({ type: 'cancelled-any', jobId, found: job !== undefined })
   }
 
--- a/packages/fleet/src/job-types.ts
+++ b/packages/fleet/src/job-types.ts
@@ -37,7 +37,7 @@
 /** Outcome of a job that a dispatcher has ended. */
 export type JobOutcome =
   | { readonly kind: 'completed' }
-  | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' }
+  | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' | 'cancelled' }
   /** Tasks may have started, and the job is not continued for this owner; `repeated-elsewhere`: its caller has sent it again through another instance. */
   | { readonly kind: 'unknown', readonly reason: 'start-unconfirmed' | 'repeated-elsewhere' }
 
--- a/packages/fleet/test/cancelled-job-runs-again-for-its-owner.test.ts
+++ b/packages/fleet/test/cancelled-job-runs-again-for-its-owner.test.ts
@@ -12,7 +12,7 @@
  * for its owner, who isn't told and submits it again on its next connection.
  */
 describe('a job that was cancelled through another instance', () => {
-  it('does not start again when its owner reconnects', { todo: 'KNOWN-RED.txt, issue 26' }, async () => {
+  it('does not start again when its owner reconnects', async () => {
     const clock = new ManualClock()
     const target = new FakeTarget('t')
     const dispatcher = createDispatcher(clock, [target])
