Compare the owners of a repeated job by monotonic ages and the possible suspension beside them

The age that counted it made a waiting job look too late to be of use in another domain, and at the dispatcher the earlier owner look younger than the owner of the repeat, which lost the job. Change: the age is monotonic again, the possible suspension stands beside it. An owner is refused if it may have accepted the job before the present one did; all times are the dispatcher's monotonic ones. Both cases of the new test failed before: 'the caller that waits was answered', and a rejection. The check of the age in suspended-owner-understates-job-age is now one of the sum of both fields, which is what the dispatcher counts; its bound is the same.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -68,10 +68,10 @@
   readonly recordedAt: number
 }
 
-/** The owner to which a caller sent a job last, and the time at which that owner accepted it, by the clock that counts suspensions. */
+/** The owner to which a caller sent a job last, and the latest time at which that owner can have accepted it. */
 interface RecordedRepeat {
   readonly ownerId: string
-  readonly acceptedElapsed: number
+  readonly acceptedAt: number
   readonly recordedAt: number
 }
 
@@ -235,18 +235,18 @@
   }
 
   /** Records that the owner of a job has it by a repeat of the caller, who had sent it through another instance before. */
-  recordRepeat ({ id, ownerId, ownerAcceptedElapsed }: DispatchedJob): void {
+  recordRepeat ({ id, ownerId, ownerAcceptedAt }: DispatchedJob): void {
     this.#repeats.delete(id)
-    this.#repeats.set(id, { ownerId, acceptedElapsed: ownerAcceptedElapsed, recordedAt: this.now() })
+    this.#repeats.set(id, { ownerId, acceptedAt: ownerAcceptedAt, recordedAt: this.now() })
   }
 
   /**
-   * @param acceptedElapsed - time at which the owner accepted the job, by the clock that counts suspensions
-   * @returns whether the caller has sent the job again through another instance since this owner accepted it
+   * @param acceptedAt - earliest time at which the owner can have accepted the job, in monotonic milliseconds
+   * @returns whether the caller may have sent the job again through another instance since this owner accepted it
    */
-  wasRepeatedElsewhere (jobId: string, ownerId: string, acceptedElapsed: number): boolean {
+  wasRepeatedElsewhere (jobId: string, ownerId: string, acceptedAt: number): boolean {
     const repeat = this.#repeats.get(jobId)
-    return repeat !== undefined && repeat.ownerId !== ownerId && acceptedElapsed < repeat.acceptedElapsed
+    return repeat !== undefined && repeat.ownerId !== ownerId && acceptedAt < repeat.acceptedAt
   }
 
   /** Removes a job without an outcome and stops its runs. */
--- a/packages/fleet/src/dispatched-job.ts
+++ b/packages/fleet/src/dispatched-job.ts
@@ -28,8 +28,8 @@
   readonly acceptedAt: number
   /** Time at which its first owner accepted the job, by the clock that counts suspensions. */
   readonly acceptedElapsed: number
-  /** The same for its present owner, which is another one after a repeat. */
-  ownerAcceptedElapsed: number
+  /** Latest time at which its present owner, which is another one after a repeat, can have accepted the job. */
+  ownerAcceptedAt: number
   readonly objectiveAt: number
   readonly usefulUntil: number
   readonly receivedAt: number
@@ -61,7 +61,7 @@
     this.earlierRunsEndAt = now + submission.quietInMs
     this.acceptedAt = now - submission.ageMs
     this.acceptedElapsed = elapsed - submission.ageMs
-    this.ownerAcceptedElapsed = this.acceptedElapsed
+    this.ownerAcceptedAt = this.acceptedAt
     this.objectiveAt = this.acceptedAt + job.objectiveMs
     this.usefulUntil = this.acceptedAt + job.usefulMs
     this.started = submission.resubmitted
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -146,13 +146,13 @@
    *
    * @returns whether the submission was refused
    */
-  #refuseEarlierOwner (connection: OwnerConnection, { job, submissionId, ageMs }: Submission): boolean {
+  #refuseEarlierOwner (connection: OwnerConnection, { job, submissionId, ageMs, suspendedMs = 0 }: Submission): boolean {
     const { jobs } = this.#state
-    const acceptedElapsed = this.#state.readElapsed() - ageMs
+    const acceptedAt = this.#state.now() - ageMs - suspendedMs
     const known = jobs.get(job.id)
     // The owner of the repeat may have submitted the job first, after a takeover.
-    if (known !== undefined && known.ownerId !== connection.ownerId && acceptedElapsed < known.ownerAcceptedElapsed) this.#state.recordRepeat(known)
-    if (!this.#state.wasRepeatedElsewhere(job.id, connection.ownerId, acceptedElapsed)) return false
+    if (known !== undefined && known.ownerId !== connection.ownerId && acceptedAt < known.ownerAcceptedAt) this.#state.recordRepeat(known)
+    if (!this.#state.wasRepeatedElsewhere(job.id, connection.ownerId, acceptedAt)) return false
     this.#state.log('job', 'submission-refused', { job: job.id, owner: connection.ownerId, submission: submissionId, reason: 'repeated-elsewhere', ageMs: Math.round(ageMs) })
     connection.send({ type: 'ended', jobId: job.id, outcome: repeatedElsewhere, submissionId })
     return true
@@ -162,7 +162,7 @@
   #attachOwner (connection: OwnerConnection, job: DispatchedJob, { submissionId, ageMs }: Submission): void {
     const isRepeat = connection.ownerId !== job.ownerId
     if (isRepeat) {
-      job.ownerAcceptedElapsed = this.#state.readElapsed() - ageMs
+      job.ownerAcceptedAt = this.#state.now() - ageMs
       this.#state.reply(job, { type: 'ended', jobId: job.id, outcome: repeatedElsewhere })
     }
     this.#state.log('job', 'job-attached', { job: job.id, owner: connection.ownerId, previous: job.ownerId, ageMs: Math.round(this.#state.now() - job.acceptedAt) })
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -219,7 +219,8 @@
 
   #submitTo (job: OwnedJob, connection: DispatcherConnection, resubmitted: boolean): void {
     const now = this.#options.clock.now()
-    const ageMs = this.#options.clock.readElapsed() - job.acceptedElapsed
+    const ageMs = now - job.acceptedAt
+    const suspendedMs = Math.max(0, this.#options.clock.readElapsed() - job.acceptedElapsed - ageMs)
     const { load, domain, token } = connection
     const last = job.location.kind === 'none' ? undefined : job.location
     const isSameDispatcher = last?.domain === domain && last.token === token
@@ -229,7 +230,7 @@
     const quietInMs = resubmitted ? Math.round(connection.measureQuietMs()) : 0
     this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(ageMs), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs, listAgeMs: roundOptional(connection.measureListAgeMs()), unlisted: this.#countUnlisted() })
     connection.reserveProcessors(job.demand.processors)
-    connection.send({ type: 'submit', submissionId, job: job.spec, ageMs, resubmitted, quietInMs, done: [...job.done] })
+    connection.send({ type: 'submit', submissionId, job: job.spec, ageMs, ...(suspendedMs > 0 ? { suspendedMs } : {}), resubmitted, quietInMs, done: [...job.done] })
   }
 
   #handleRejection (connection: DispatcherConnection, { jobId, submissionId, reason, retryAfterMs }: Reply<'rejected'>): void {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -8,8 +8,10 @@
    */
   readonly submissionId?: number
   readonly job: JobSpec
-  /** Time in milliseconds since the owner accepted the job. */
+  /** Time in milliseconds since the owner accepted the job, by its monotonic clock. */
   readonly ageMs: number
+  /** Time in milliseconds for which the owner's machine may have been suspended since then; earlier versions omit it. */
+  readonly suspendedMs?: number
   /** Whether an earlier dispatcher of the domain may have started the job. */
   readonly resubmitted: boolean
   /** Time in milliseconds until all runs of the job that an earlier dispatcher started have ended. */
--- a/packages/fleet/test/suspended-owner-understates-job-age.test.ts
+++ b/packages/fleet/test/suspended-owner-understates-job-age.test.ts
@@ -30,7 +30,7 @@
     const last = home.sent.filter((message): message is Extract<OwnerMessage, { type: 'submit' }> => message.type === 'submit').at(-1)
     abandon('the test ends')
     owner.close()
-    assert.equal(last?.ageMs, suspensionMs)
+    assert.equal(last!.ageMs + last!.suspendedMs!, suspensionMs)
   })
 })
 
--- a/packages/fleet/test/time-of-day-set-ahead-ages-jobs.test.ts
+++ b/packages/fleet/test/time-of-day-set-ahead-ages-jobs.test.ts
@@ -19,7 +19,7 @@
 
 /** Guards against the earlier owner of a repeated job looking younger than the owner of the repeat, and taking the job from it. */
 describe('a dispatcher whose time of day is set ahead after a job was repeated', () => {
-  it('keeps the job with the owner of the repeat', { todo: 'KNOWN-RED.txt, issue 26' }, async () => {
+  it('keeps the job with the owner of the repeat', async () => {
     const clock = new SteppedClock()
     const target = new FakeTarget('t')
     const dispatcher = createDispatcher(clock, [target])
@@ -44,7 +44,7 @@
 
 /** Guards against rejecting a job as too late because its owner's time of day was set ahead while it waited. */
 describe('an owner whose time of day is set ahead while a job waits', () => {
-  it('submits the job as one that another dispatcher still finds of use', { todo: 'KNOWN-RED.txt, issue 26' }, async () => {
+  it('submits the job as one that another dispatcher still finds of use', async () => {
     const clock = new SteppedClock()
     const home = new FakeConnection('a')
     const owner = createOwner(clock, [home])
