Read the clocks once in a round of starts

The lead of one clock over the other is now read once a round; the pause between the readings still makes limits earlier. What a round shares is one value, and the parameters of its steps are fewer. No decision changes.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -179,26 +179,33 @@
    * outlive the last sign of life of its owner by that time. An owner that has given a job up does not submit
    * it on its next connection, so only signs of life on the job's own connection count.
    *
+   * @param elapsedLeadMs - result of `measureElapsedLead`, for callers that compute many limits at once
    * @returns monotonic time in milliseconds
    */
-  computeRunLimit (job: DispatchedJob): number {
-    // Read first: a pause between the two readings makes the limit earlier.
+  computeRunLimit (job: DispatchedJob, elapsedLeadMs = this.measureElapsedLead()): number {
+    return this.owners.getConfirmedAt(job.connection) + this.#limits.resubmitMs - runEndMarginMs - elapsedLeadMs
+  }
+
+  /** @returns milliseconds by which the clock that counts suspensions is ahead of the monotonic one */
+  measureElapsedLead (): number {
+    // Read first: a pause between the two readings makes limits earlier.
     const now = this.now()
-    return now + this.owners.getConfirmedAt(job.connection) + this.#limits.resubmitMs - runEndMarginMs - this.readElapsed()
+    return this.readElapsed() - now
   }
 
   /**
    * Computes until when the leases at a target may be extended; a lease applies to all its runs.
    *
+   * @param elapsedLeadMs - result of `measureElapsedLead`
    * @returns monotonic time in milliseconds; `-Infinity` while the target has a run that no owner claims
    */
-  computeLeaseLimit (session: TargetSession): number {
+  computeLeaseLimit (session: TargetSession, elapsedLeadMs = this.measureElapsedLead()): number {
     let limit = Infinity
     for (const run of session.runs.values()) {
       // Its end is due, whatever its lease.
       if (run.stopAcceptedAt !== undefined) continue
       const { job } = this.findTaskOfRun(run)
-      limit = Math.min(limit, job === undefined ? -Infinity : this.computeRunLimit(job))
+      limit = Math.min(limit, job === undefined ? -Infinity : this.computeRunLimit(job, elapsedLeadMs))
     }
     return limit
   }
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -9,6 +9,17 @@
 /** Attempt numbers reserved per token for each task, so that numbers under later tokens are higher. */
 const attemptsPerToken = 64
 
+/** What the decisions of one round of starts share. */
+interface Round {
+  /** Monotonic time in milliseconds by which the round decides. */
+  readonly now: number
+  /** Milliseconds by which the clock that counts suspensions is ahead. */
+  readonly elapsedLeadMs: number
+  readonly candidates: readonly SessionCandidate[]
+  /** Keys of demands that fit no target any more. */
+  readonly fullFor: Set<string>
+}
+
 /** Starts waiting tasks at targets with free capacity. */
 export class TaskScheduler {
   readonly #state: DispatchState
@@ -34,24 +45,23 @@
     const largestFree = candidates.reduce((largest, { freeCapacity }) => Math.max(largest, freeCapacity.processors), 0)
     // In an overload most rounds have no free capacity, and sorting a long queue costs more than the rest.
     if (![...queue].some(job => job.smallestDemand <= largestFree)) return
-    const fullFor = new Set<string>()
+    const round: Round = { now, elapsedLeadMs: this.#state.measureElapsedLead(), candidates, fullFor: new Set() }
     const newlyStarted = new Map<string, string[]>()
     for (const job of sortQueue([...queue], now)) {
       const wasStarted = job.started
-      this.#startTasksOf(job, candidates, fullFor, now)
+      this.#startTasksOf(job, round)
       if (job.started && !wasStarted) newlyStarted.set(job.ownerId, [...newlyStarted.get(job.ownerId) ?? [], job.id])
       if (!job.hasStartableTask()) queue.delete(job)
     }
     for (const [ownerId, jobIds] of newlyStarted) this.#state.owners.send(ownerId, { type: 'started', jobIds })
   }
 
-  /** @param fullFor - keys of demands that fit no target any more in this round */
-  #startTasksOf (job: DispatchedJob, candidates: readonly SessionCandidate[], fullFor: Set<string>, now: number): void {
-    if (this.#state.computeRunLimit(job) < now + startWindowMs) return
+  #startTasksOf (job: DispatchedJob, round: Round): void {
+    if (this.#state.computeRunLimit(job, round.elapsedLeadMs) < round.now + startWindowMs) return
     for (const task of job.tasks) {
       if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex)) continue
-      const target = this.#pickTarget(job, task, candidates, fullFor, now)
-      if (target !== undefined) this.#startTask(job, task, target.session, now)
+      const target = this.#pickTarget(job, task, round)
+      if (target !== undefined) this.#startTask(job, task, target.session, round.now)
     }
   }
 
@@ -59,12 +69,12 @@
    * A start order also extends the leases of the target's other runs, so the target must not have one whose
    * owner may be lost. A lease belongs to the target, so the task may last until the latest one that was granted there.
    */
-  #pickTarget (job: DispatchedJob, task: TaskRecord, candidates: readonly SessionCandidate[], fullFor: Set<string>, now: number): SessionCandidate | undefined {
+  #pickTarget (job: DispatchedJob, task: TaskRecord, { now, elapsedLeadMs, candidates, fullFor }: Round): SessionCandidate | undefined {
     const step = job.getStep(task)
     const key = formatDemandKey(job.spec.service, step)
     if (fullFor.has(key)) return undefined
     const countRunsOfStep = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.stepIndex)
-    const runLimit = this.#state.computeRunLimit(job)
+    const runLimit = this.#state.computeRunLimit(job, elapsedLeadMs)
     let usable = candidates
     for (;;) {
       const target = pickTarget(usable, job.spec.service, step, countRunsOfStep, this.#remoteFactor)
@@ -74,7 +84,7 @@
         return undefined
       }
       // A start in this round may have made the target unusable.
-      const isWithinLimit = target.session.leasesEndAt <= runLimit && this.#state.computeLeaseLimit(target.session) >= now + startWindowMs
+      const isWithinLimit = target.session.leasesEndAt <= runLimit && this.#state.computeLeaseLimit(target.session, elapsedLeadMs) >= now + startWindowMs
       if (isWithinLimit && target.session.isUsable(now)) return target
       usable = usable.filter(candidate => candidate !== target)
     }
