Report an address that no connection can be made to as not sent

Operators would see: one entry of another writer among those of the targets, with a port out of range or a host that is none, and the dispatcher of its domain logs an unhandled rejection and never polls that target again; every takeover of the domain then waits for the longest lease. An odd address among the first three targets also kept other domains from claiming a domain without a dispatcher, and one in a dispatcher's row kept its successors from being tried, with a line of log each 50 ms. Cause: undici's Client and net.connect throw for such addresses, and neither the connection pool nor openSocket caught that, although both promise a result that tells what happened. Change: ConnectionPool.send ends as not-sent; openSocket returns an error code. openSocket takes IP addresses only, as its callers state, so that an odd host causes no name lookup. Test: unusable-address-throws.

--- a/packages/transport/src/connection-pool.ts
+++ b/packages/transport/src/connection-pool.ts
@@ -73,12 +73,18 @@
    *
    * @param request - the request to send
    * @param options - timeouts, and whether a new connection is needed
-   * @returns the exchange; time in the queue counts towards both timeouts
+   * @returns the exchange; time in the queue counts towards both timeouts. It ends as `not-sent` if no connection can be
+   *   made to the address, for example because its port is out of range
    */
   send (request: HttpRequest, options: SendOptions): Exchange {
-    const client = this.#isClosed ? undefined : this.#acquire(options.needsNewConnection === true)
+    if (this.#isClosed) return endUnsent('the connection pool is closed')
+    let client: Client | undefined
+    try {
+      client = this.#acquire(options.needsNewConnection === true)
+    } catch (error) {
+      return endUnsent(error instanceof Error ? error.message : String(error))
+    }
     if (client !== undefined) return this.#startOn(client, request, options.sendTimeoutMs ?? options.replyTimeoutMs, options.replyTimeoutMs)
-    if (this.#isClosed) return { result: Promise.resolve({ kind: 'not-sent', message: 'the connection pool is closed' }), abort: () => {} }
     return this.#enqueue(request, options)
   }
 
@@ -169,3 +175,8 @@
     return { result, abort: message => { abort(message) } }
   }
 }
+
+/** @returns an exchange that has ended before any byte was written */
+function endUnsent (message: string): Exchange {
+  return { result: Promise.resolve({ kind: 'not-sent', message }), abort: () => {} }
+}
--- a/packages/transport/src/message-stream.ts
+++ b/packages/transport/src/message-stream.ts
@@ -1,4 +1,4 @@
-import { connect, createServer, type Server, type Socket } from 'node:net'
+import { connect, createServer, isIP, type Server, type Socket } from 'node:net'
 import { Packr, Unpackr } from 'msgpackr'
 import { splitAddress } from './http-listener.js'
 
@@ -15,6 +15,9 @@
   readonly onClose: (reason: string) => void
 }
 
+/** Highest TCP port. */
+const maxPort = 65_535
+
 const packr = new Packr({ useRecords: false })
 const unpackr = new Unpackr({ useRecords: false })
 
@@ -129,10 +132,11 @@
  *
  * @param address - `IP:PORT` of the server
  * @param timeoutMs - time in milliseconds that opening the connection may take
- * @returns the socket, or on failure an error code such as `ECONNREFUSED`, or `timeout`
+ * @returns the socket, or on failure an error code such as `ECONNREFUSED`, or `timeout`, or `invalid address`
  */
 export async function openSocket (address: string, timeoutMs: number): Promise<Socket | string> {
   const { host, port } = splitAddress(address)
+  if (isIP(host) === 0 || !Number.isInteger(port) || port < 1 || port > maxPort) return 'invalid address'
   return await new Promise(resolve => {
     const socket = connect({ host, port })
     const onError = (error: NodeJS.ErrnoException): void => {
