Go on polling and watching after an unexpected error

Operators would see: after one exception, a dispatcher that never polls a target again, or an instance that never again sees a change of the targets, the instances or the configuration, while the process lives on. Cause: PollLoop.run and TableWatch.run ended with the first throw of a step, which reaches them from a connection, from the store's client or from an observer that meets an odd row. Change: a poll that throws counts as one without an answer, and the first error of a series is logged. A watch logs the error, pauses with exponential back-off and lists the table again; rows that its observer has not taken are passed again, and until then the copy does not count as current. Test: throwing-step-ends-loop, three of its four cases failed before (no poll and no change after the error). The fourth holds the age of the copy, on which takeovers rely.

--- a/packages/fleet/src/poll-loop.ts
+++ b/packages/fleet/src/poll-loop.ts
@@ -16,6 +16,9 @@
   readonly #clock: Clock
   readonly #chooseWait: () => number
   readonly #poll: (waitMs: number) => Promise<boolean>
+  readonly #onError: (error: unknown) => void
+  /** Whether the last poll has thrown; a series of errors is reported once. */
+  #hasThrown = false
   #retryMs = initialRetryMs
   #closed = false
   #cancelPause: (() => void) | undefined
@@ -23,17 +26,19 @@
   /**
    * @param chooseWait - returns how long the target may wait for the end of a run before it answers, in milliseconds
    * @param poll - polls once and tells whether the target answered
+   * @param onError - receives the first of a series of unexpected errors, which count as polls without an answer
    */
-  constructor (clock: Clock, chooseWait: () => number, poll: (waitMs: number) => Promise<boolean>) {
+  constructor (clock: Clock, chooseWait: () => number, poll: (waitMs: number) => Promise<boolean>, onError: (error: unknown) => void) {
     this.#clock = clock
     this.#chooseWait = chooseWait
     this.#poll = poll
+    this.#onError = onError
   }
 
   /** Polls until the loop is closed. */
   async run (): Promise<void> {
     while (!this.#closed) {
-      if (await this.#pollHedged(this.#chooseWait())) {
+      if (await this.#tryPoll()) {
         this.#retryMs = initialRetryMs
         continue
       }
@@ -49,6 +54,19 @@
     this.#cancelPause?.()
   }
 
+  /** @returns whether the target answered; false after an unexpected error */
+  async #tryPoll (): Promise<boolean> {
+    try {
+      const hasAnswered = await this.#pollHedged(this.#chooseWait())
+      this.#hasThrown = false
+      return hasAnswered
+    } catch (error) {
+      if (!this.#hasThrown) this.#onError(error)
+      this.#hasThrown = true
+      return false
+    }
+  }
+
   /**
    * Polls once, and a second time without a wait when the answer is overdue.
    *
--- a/packages/fleet/src/table-watch.ts
+++ b/packages/fleet/src/table-watch.ts
@@ -44,6 +44,8 @@
   #revision: number | undefined
   #listedAt = -Infinity
   #failingSince: number | undefined
+  /** Whether the observer has thrown when it last received the rows. */
+  #hasMissedRows = false
   /** Clock time at which the copy was last known to be current. */
   #currentAt = -Infinity
   #isFollowing: boolean
@@ -79,7 +81,7 @@
 
   /** Lists the table at once, beside a call that may be waiting for changes. */
   relist (): void {
-    this.#list(this.#clock.now()).catch((error: unknown) => { this.#log.logError(`list of ${this.#table}`, error) })
+    this.#list(this.#clock.now()).catch((error: unknown) => { this.#handleError(error) })
   }
 
   close (): void {
@@ -89,15 +91,38 @@
 
   async #run (): Promise<void> {
     while (!this.#closed) {
-      const sentAt = this.#clock.now()
-      const isListDue = !this.#isFollowing || this.#revision === undefined || sentAt - this.#listedAt >= this.#options.relistIntervalMs
-      const failure = isListDue ? await this.#list(sentAt) : await this.#watch(this.#revision!, sentAt)
-      if (this.#closed) return
-      if (failure === undefined) await this.#handleSuccess()
-      else await this.#handleFailure(failure)
+      try {
+        await this.#readOnce()
+      } catch (error) {
+        this.#handleError(error)
+        await this.#pause(this.#backoff.takePauseMs())
+      }
     }
   }
 
+  /** Lists the table if that is due, else waits for changes, and pauses as the result demands. */
+  async #readOnce (): Promise<void> {
+    const sentAt = this.#clock.now()
+    const isListDue = !this.#isFollowing || this.#revision === undefined || sentAt - this.#listedAt >= this.#options.relistIntervalMs
+    const failure = isListDue ? await this.#list(sentAt) : await this.#watch(this.#revision!, sentAt)
+    if (this.#closed) return
+    if (failure === undefined) await this.#handleSuccess()
+    else await this.#handleFailure(failure)
+  }
+
+  /** Logs an unexpected error. The observer may have missed rows, so the table is listed again. */
+  #handleError (error: unknown): void {
+    this.#log.logError(`watch of ${this.#table}`, error)
+    this.#listedAt = -Infinity
+    this.#currentAt = -Infinity
+  }
+
+  #notifyObserver (revision: number): void {
+    this.#hasMissedRows = true
+    this.#observer.onRows(this.#rows, revision)
+    this.#hasMissedRows = false
+  }
+
   /** @returns the error message of a failed call, else undefined */
   async #list (sentAt: number): Promise<string | undefined> {
     const reply = await this.#store.list(this.#table)
@@ -109,7 +134,7 @@
     this.#currentAt = Math.max(this.#currentAt, sentAt)
     const isChanged = this.#applyList(reply.rows)
     this.#revision = reply.revision
-    if (isChanged) this.#observer.onRows(this.#rows, reply.revision)
+    if (isChanged || this.#hasMissedRows) this.#notifyObserver(reply.revision)
     return undefined
   }
 
@@ -149,7 +174,7 @@
       if (change.deleted) this.#rows.delete(change.key)
       else this.#rows.set(change.key, change)
     }
-    this.#observer.onRows(this.#rows, this.#revision)
+    this.#notifyObserver(this.#revision)
     return undefined
   }
 
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -75,7 +75,7 @@
     this.#observer = observer
     this.#unansweredOrders = unansweredOrders
     this.#orderBlocker = new OrderBlocker(clock, limits.lateOrderMs, async ({ task, attempt }) => await connection.stop({ task, attempt, token: this.#readToken() }, this.#orderTimeout.timeoutMs))
-    this.#pollLoop = new PollLoop(clock, () => this.#chooseWait(), async waitMs => await this.#poll(waitMs))
+    this.#pollLoop = new PollLoop(clock, () => this.#chooseWait(), async waitMs => await this.#poll(waitMs), error => { observer.onError(error) })
   }
 
   get info (): TargetInfo { return this.#info }
