Check the rows of instances and dispatchers before use

Operators would see, with one odd row in the directory: an instance that ends its duty as dispatcher, and no other that claims the domain, because the row of another key names the domain with a higher revision; an instance that writes its registration twice a second for ever; or, with a successor that is no object, an exception in every observer, which ended the watch of the directory for good. Cause: the parser took the JSON as it was, apart from two of its fields, and did not compare the key. Change: all fields are checked, numbers must be finite, and a row counts only under the key of what it names. An unreadable row is logged once, as directory-row-unreadable.

--- a/packages/fleet/src/directory.ts
+++ b/packages/fleet/src/directory.ts
@@ -2,6 +2,7 @@
 import { type EventLog } from './event-log.js'
 import { type MetadataStore, type StoreRow } from './metadata-store.js'
 import { TableObserver, TableWatch } from './table-watch.js'
+import { UnreadableRows } from './unreadable-rows.js'
 
 /** Store table with a row for each instance and a row for each domain's dispatcher. */
 export const directoryTable = 'sesamereel'
@@ -51,33 +52,50 @@
 /**
  * Parses a dispatcher's row.
  *
- * @returns undefined for a row of another kind or a malformed one
+ * @returns undefined for a row of another kind, a malformed one, and one that names another domain than its key
  */
 export function parseDispatcherRow (row: StoreRow): DispatcherEntry | undefined {
-  if (!row.key.startsWith('dispatcher/')) return undefined
   const value = parseObject(row.value)
-  if (value === undefined || typeof value.incarnation !== 'string' || typeof value.address !== 'string') return undefined
-  return { ...value as unknown as DispatcherEntry, successors: Array.isArray(value.successors) ? value.successors as InstanceEntry[] : [], revision: row.revision }
+  if (value === undefined) return undefined
+  const { domain, instance, incarnation, address, successors } = value
+  if (!isText(domain) || !isText(instance) || !isText(incarnation) || !isText(address) || row.key !== formatDispatcherKey(domain)) return undefined
+  const known = Array.isArray(successors) ? successors.map(parseInstance).filter(entry => entry !== undefined) : []
+  return { domain, instance, incarnation, address, successors: known, revision: row.revision }
 }
 
 function parseInstanceRow (row: StoreRow): InstanceEntry | undefined {
-  if (!row.key.startsWith('instance/')) return undefined
-  const value = parseObject(row.value)
-  if (value === undefined || typeof value.incarnation !== 'string' || typeof value.address !== 'string') return undefined
-  return value as unknown as InstanceEntry
+  const entry = parseInstance(parseObject(row.value))
+  return entry !== undefined && row.key === formatInstanceKey(entry.instance) ? entry : undefined
+}
+
+function parseInstance (value: unknown): InstanceEntry | undefined {
+  if (!isObject(value)) return undefined
+  const { instance, incarnation, domain, address, power, startedMs } = value
+  if (!isText(instance) || !isText(incarnation) || !isText(domain) || !isText(address)) return undefined
+  if (typeof power !== 'number' || !Number.isFinite(power) || power <= 0) return undefined
+  if (typeof startedMs !== 'number' || !Number.isFinite(startedMs)) return undefined
+  return { instance, incarnation, domain, address, power, startedMs }
 }
 
-function parseObject (text: string | undefined): Record<string, unknown> | undefined {
+function parseObject (text: string | undefined): Readonly<Record<string, unknown>> | undefined {
   if (text === undefined) return undefined
   try {
     const value: unknown = JSON.parse(text)
-    return typeof value === 'object' && value !== null ? value as Record<string, unknown> : undefined
+    return isObject(value) ? value : undefined
   } catch {
-    // Only instances write to this table; callers skip rows that can't be parsed.
+    // The caller logs rows that can't be parsed.
     return undefined
   }
 }
 
+function isObject (value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null
+}
+
+function isText (value: unknown): value is string {
+  return typeof value === 'string' && value !== ''
+}
+
 /** Receives a notification after each change of the directory. */
 export abstract class DirectoryObserver {
   abstract onDirectoryChanged (): void
@@ -88,6 +106,7 @@
   readonly #watch: TableWatch
   readonly #log: EventLog
   readonly #observers: DirectoryObserver[] = []
+  readonly #unreadable = new UnreadableRows()
   #instances: ReadonlyMap<string, InstanceEntry> = new Map()
   #dispatchers: ReadonlyMap<string, DispatcherEntry> = new Map()
   #loaded = false
@@ -145,10 +164,12 @@
   override onRows (rows: ReadonlyMap<string, StoreRow>, revision: number): void {
     const instances = new Map<string, InstanceEntry>()
     const dispatchers = new Map<string, DispatcherEntry>()
+    this.#unreadable.expire(rows)
     for (const row of rows.values()) {
       const instance = parseInstanceRow(row)
       if (instance !== undefined) instances.set(instance.instance, instance)
       const dispatcher = parseDispatcherRow(row)
+      if (instance === undefined && dispatcher === undefined && this.#unreadable.record(row.key)) this.#log.log('belief', 'directory-row-unreadable', { key: row.key, revision: row.revision })
       if (dispatcher === undefined) continue
       const known = this.#dispatchers.get(dispatcher.domain)
       const newest = known !== undefined && known.revision > dispatcher.revision ? known : dispatcher
