--- a/packages/transport/src/connection-pool.ts
+++ b/packages/transport/src/connection-pool.ts
@@ -8,6 +8,8 @@
   readonly maxConnections: number
   /** Number of connections that only requests with `needsNewConnection` may use. */
   readonly reservedConnections: number
+  /** Size in bytes beyond which a reply body is not read and counts as lost; `defaultMaxReplyBytes` when absent. */
+  readonly maxReplyBytes?: number
 }
 
 export interface SendOptions {
@@ -120,7 +122,7 @@
 
   #startOn (client: Client, request: HttpRequest, sendTimeoutMs: number, replyTimeoutMs: number): Exchange {
     this.#busy.add(client)
-    const exchange = startExchange(client, request, sendTimeoutMs, replyTimeoutMs)
+    const exchange = startExchange(client, request, sendTimeoutMs, replyTimeoutMs, this.#options.maxReplyBytes)
     const result = exchange.result.then(result => {
       this.#release(client, result)
       return result
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -24,8 +24,8 @@
   readonly abort: (message: string) => void
 }
 
-/** Size limit of a reply body in bytes. */
-const maxReplyBytes = 64 * 1024 * 1024
+/** Size limit of a reply body in bytes, unless the caller sets a lower one. */
+export const defaultMaxReplyBytes = 64 * 1024 * 1024
 
 /**
  * Sends one request over a connection that has no other request in progress.
@@ -34,10 +34,11 @@
  * @param request - the request to send
  * @param sendTimeoutMs - time in milliseconds after which the request is no longer written
  * @param replyTimeoutMs - time in milliseconds after which the exchange stops waiting for the reply
+ * @param maxReplyBytes - size in bytes beyond which a reply body is not read and counts as lost
  * @returns the exchange; its result never rejects
  */
-export function startExchange (client: Client, request: HttpRequest, sendTimeoutMs: number, replyTimeoutMs: number): Exchange {
-  const handler = new ExchangeHandler(client, sendTimeoutMs, replyTimeoutMs)
+export function startExchange (client: Client, request: HttpRequest, sendTimeoutMs: number, replyTimeoutMs: number, maxReplyBytes = defaultMaxReplyBytes): Exchange {
+  const handler = new ExchangeHandler(client, sendTimeoutMs, replyTimeoutMs, maxReplyBytes)
   try {
     const headers = request.body === undefined ? { ...request.headers } : { 'content-type': 'application/json', ...request.headers }
     client.dispatch({ method: request.method, path: request.path, headers, body: request.body ?? null, idempotent: false }, handler)
@@ -50,6 +51,7 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly result: Promise<ExchangeResult>
   readonly #client: Client
+  readonly #maxReplyBytes: number
   #resolveResult!: (result: ExchangeResult) => void
   #isFinished = false
   /** Set immediately before the request is written; while it is false, no byte has been sent. */
@@ -62,8 +64,9 @@
   #sendTimer: NodeJS.Timeout | undefined
   readonly #replyTimer: NodeJS.Timeout
 
-  constructor (client: Client, sendTimeoutMs: number, replyTimeoutMs: number) {
+  constructor (client: Client, sendTimeoutMs: number, replyTimeoutMs: number, maxReplyBytes: number) {
     this.#client = client
+    this.#maxReplyBytes = maxReplyBytes
     this.result = new Promise(resolve => { this.#resolveResult = resolve })
     this.#replyTimer = setTimeout(() => { this.#endUnlessReceived('no reply', replyTimeoutMs) }, replyTimeoutMs)
     if (sendTimeoutMs < replyTimeoutMs) {
@@ -95,8 +98,8 @@
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#receivedBytes += chunk.length
-    if (this.#receivedBytes > maxReplyBytes) {
-      this.abort(`the reply is longer than ${maxReplyBytes} bytes`)
+    if (this.#receivedBytes > this.#maxReplyBytes) {
+      this.abort(`the reply is longer than ${this.#maxReplyBytes} bytes`)
       return
     }
     this.#chunks.push(chunk)
