Follow a target that restarts with an earlier birth

Operators would see: a target that answers all polls and gets no task, while the dispatcher polls it without a pause, from its restart with a clock that was set back, or from a single odd birth, until the dispatcher ends. Cause: each view with a birth before the known one counts as an old view that was overtaken, and as an answer to the poll. Change: a view is old only if its poll was sent before the first view of the known incarnation arrived. The answer to a later poll shows a restart, whatever its birth. Test: earlier-birth-hides-restart, failed before (not usable 2 s after the restart).

--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -50,6 +50,8 @@
   #info: TargetInfo
   /** Unix time in milliseconds at which the current incarnation of the target started. */
   #bornMs: number | undefined
+  /** Monotonic local time in milliseconds at which the first view of the current incarnation arrived. */
+  #bornSeenAt = -Infinity
   /** Number of the last end of a run that was processed. */
   #lastSeenEnd = 0
   #seen = false
@@ -254,14 +256,17 @@
 
   #handleView (view: TargetView, sentAt: number, now: number): void {
     if (view.bornMs !== undefined && this.#bornMs !== undefined && view.bornMs !== this.#bornMs) {
-      if (view.bornMs < this.#bornMs) return
+      // An earlier birth in the answer to a later poll means that the target's clock was set back before it restarted.
+      if (view.bornMs < this.#bornMs && sentAt <= this.#bornSeenAt) return
       const { bornMs } = view
       this.#resetIncarnation()
       this.#bornMs = bornMs
+      this.#bornSeenAt = now
       this.#endEarlierIncarnation()
       this.#observer.onTargetChanged(this, 'restarted')
     }
     const isFirstOfIncarnation = this.#bornMs === undefined
+    if (isFirstOfIncarnation) this.#bornSeenAt = now
     this.#bornMs = view.bornMs ?? this.#bornMs
     // An earlier session with this incarnation, or with one before it, may have left orders unanswered.
     if (isFirstOfIncarnation) this.#blockUnansweredOrders(now)
--- a/packages/fleet/test/dispatcher-fixture.ts
+++ b/packages/fleet/test/dispatcher-fixture.ts
@@ -16,6 +16,7 @@
   bornMs = 1
   isReachable = true
   answersStarts = true
+  pollCount = 0
   /** Clock of the test at which the target's clock was 0. */
   startedAt = 0
 
@@ -49,6 +50,7 @@
 
   override async poll (request: PollRequest, timeoutMs: number): Promise<PollReply> {
     if (!this.#target.isReachable) return await this.#resolveAfter(timeoutMs, noAnswer)
+    this.#target.pollCount++
     await this.#resolveAfter(Math.max(request.waitMs, roundTripMs), undefined)
     const { startedAt, bornMs } = this.#target
     const running = this.#target.running.map(entry => ({ ...entry, percent: Math.min(99, entry.percent + 1) }))
