Give no tasks to a target whose row became unreadable

Operators would see: a target that gets new tasks for 2 s after another writer has replaced its row, and a line of log for each time that the row changes from readable to unreadable. Cause: an unreadable row was treated like a missing one, which may come back after an outage of the store; and target-row-unreadable was due again after each readable revision. Change: the target counts as draining from then on, and stays listed as such for the 30 s in which a target that disappeared may have runs, so that its runs are tracked to their ends and a new dispatcher asks it for them. An unreadable row is logged once for as long as it exists. Keys of rows that are gone are forgotten.

--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -4,6 +4,7 @@
 import { type MetadataStore, type StoreRow } from './metadata-store.js'
 import { TableObserver, TableWatch } from './table-watch.js'
 import { type TargetInfo } from './target-types.js'
+import { UnreadableRows } from './unreadable-rows.js'
 
 /** Pause in milliseconds between two watch calls; targets write often, and none of the changes is urgent. */
 const watchPauseMs = 400
@@ -47,8 +48,9 @@
   readonly #dispatchers = new Set<Dispatcher>()
   /** Monotonic time in milliseconds at which the entries of targets that are still in use went missing, by id. */
   readonly #missingSince = new Map<string, number>()
-  /** Keys of unreadable rows, each of which is logged once. */
-  readonly #unreadable = new Set<string>()
+  readonly #unreadable = new UnreadableRows()
+  /** Monotonic time in milliseconds at which the rows of targets that were in use became unreadable, by id. */
+  readonly #unreadableSince = new Map<string, number>()
   /** Monotonic time in milliseconds at which targets disappeared, by domain and id. */
   readonly #vanishedAt = new Map<string, Map<string, number>>()
   /** Decoded rows by key, with the revisions of the rows. */
@@ -129,6 +131,8 @@
   override onRows (rows: ReadonlyMap<string, StoreRow>): void {
     const targets = new Map<string, TargetInfo>()
     for (const key of this.#decoded.keys()) if (!rows.has(key)) this.#decoded.delete(key)
+    for (const key of this.#unreadableSince.keys()) if (!rows.has(key)) this.#unreadableSince.delete(key)
+    this.#unreadable.expire(rows)
     for (const row of rows.values()) this.#addRow(row, targets)
     this.#recordVanished(targets)
     this.#retainMissing(targets)
@@ -140,12 +144,24 @@
     const target = this.#decodeOnce(row)
     if (target !== undefined) {
       targets.set(target.id, target)
-      this.#unreadable.delete(row.key)
+      this.#unreadableSince.delete(row.key)
       return
     }
-    if (this.#unreadable.has(row.key)) return
-    this.#unreadable.add(row.key)
-    this.#log.log('belief', 'target-row-unreadable', { target: row.key, revision: row.revision })
+    this.#retainUnreadable(row, targets)
+    if (this.#unreadable.record(row.key)) this.#log.log('belief', 'target-row-unreadable', { target: row.key, revision: row.revision })
+  }
+
+  /**
+   * Keeps a target whose row became unreadable as a draining one for as long as it may have runs: it gets no more
+   * tasks, and a new dispatcher asks it for its runs.
+   */
+  #retainUnreadable (row: StoreRow, targets: Map<string, TargetInfo>): void {
+    const known = this.#targets.get(row.key)
+    if (known === undefined) return
+    const now = this.#clock.now()
+    const since = this.#unreadableSince.get(row.key) ?? now
+    this.#unreadableSince.set(row.key, since)
+    if (now - since < vanishedTargetRetentionMs) targets.set(row.key, { ...known, draining: true, revision: row.revision })
   }
 
   #decodeOnce (row: StoreRow): TargetInfo | undefined {
