--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -68,6 +68,13 @@
   readonly recordedAt: number
 }
 
+/** The owner to which a caller sent a job last, and the latest time at which that owner can have accepted it. */
+interface RecordedRepeat {
+  readonly ownerId: string
+  readonly acceptedAt: number
+  readonly recordedAt: number
+}
+
 /**
  * The jobs, runs and owners of one dispatcher. It maintains two invariants: a task has at most one
  * run that may exist, apart from second runs that were discovered and are being stopped, and a job with
@@ -95,6 +102,8 @@
   readonly #outcomes = new Map<string, RecordedOutcome>()
   /** Rejections by owner and job. */
   readonly #rejections = new Map<string, RecordedRejection>()
+  /** Jobs that were sent again through another instance, by job id. */
+  readonly #repeats = new Map<string, RecordedRepeat>()
   #unreportedDone = new Map<string, number[]>()
 
   constructor (clock: Clock, limits: FleetLimits, log: EventLog, metrics: FleetMetrics) {
@@ -111,6 +120,11 @@
     return this.#clock.now()
   }
 
+  /** @returns the time that signs of life of owners are measured by; unlike `now`, it counts suspensions of the machine */
+  readElapsed (): number {
+    return this.#clock.readElapsed()
+  }
+
   log (logClass: 'belief' | 'job' | 'order', event: string, fields: LogFields): void {
     this.#log.log(logClass, event, fields)
   }
@@ -162,26 +176,36 @@
   /**
    * Computes until when runs of a job may be kept alive. An owner that is lost can't cancel its jobs,
    * and its callers send them again through any instance after the resubmission time, so no run may
-   * outlive the last sign of life of its owner by that time.
+   * outlive the last sign of life of its owner by that time. An owner that has given a job up does not submit
+   * it on its next connection, so only signs of life on the job's own connection count.
    *
+   * @param elapsedLeadMs - result of `measureElapsedLead`, for callers that compute many limits at once
    * @returns monotonic time in milliseconds
    */
-  computeRunLimit (job: DispatchedJob): number {
-    return this.owners.getConfirmedAt(job.ownerId) + this.#limits.resubmitMs - runEndMarginMs
+  computeRunLimit (job: DispatchedJob, elapsedLeadMs = this.measureElapsedLead()): number {
+    return this.owners.getConfirmedAt(job.connection) + this.#limits.resubmitMs - runEndMarginMs - elapsedLeadMs
+  }
+
+  /** @returns milliseconds by which the clock that counts suspensions is ahead of the monotonic one */
+  measureElapsedLead (): number {
+    // Read first: a pause between the two readings makes limits earlier.
+    const now = this.now()
+    return this.readElapsed() - now
   }
 
   /**
    * Computes until when the leases at a target may be extended; a lease applies to all its runs.
    *
+   * @param elapsedLeadMs - result of `measureElapsedLead`
    * @returns monotonic time in milliseconds; `-Infinity` while the target has a run that no owner claims
    */
-  computeLeaseLimit (session: TargetSession): number {
+  computeLeaseLimit (session: TargetSession, elapsedLeadMs = this.measureElapsedLead()): number {
     let limit = Infinity
     for (const run of session.runs.values()) {
       // Its end is due, whatever its lease.
       if (run.stopAcceptedAt !== undefined) continue
       const { job } = this.findTaskOfRun(run)
-      limit = Math.min(limit, job === undefined ? -Infinity : this.computeRunLimit(job))
+      limit = Math.min(limit, job === undefined ? -Infinity : this.computeRunLimit(job, elapsedLeadMs))
     }
     return limit
   }
@@ -207,15 +231,36 @@
     this.reply(job, { type: 'rejected', jobId: job.id, reason, retryAfterMs })
   }
 
+  /** Forgets the rejection of an earlier submission of a job that is admitted now. */
+  forgetRejection (job: DispatchedJob): void {
+    this.#rejections.delete(formatOwnedKey(job))
+  }
+
   /** @returns the rejection of an earlier submission of the job by the same owner, if there was one lately */
   findRejection (job: DispatchedJob): Rejection | undefined {
     return this.#rejections.get(formatOwnedKey(job))
   }
 
+  /** Records that the owner of a job has it by a repeat of the caller, who had sent it through another instance before. */
+  recordRepeat ({ id, ownerId, ownerAcceptedAt }: DispatchedJob): void {
+    this.#repeats.delete(id)
+    this.#repeats.set(id, { ownerId, acceptedAt: ownerAcceptedAt, recordedAt: this.now() })
+  }
+
+  /**
+   * @param acceptedAt - earliest time at which the owner can have accepted the job, in monotonic milliseconds
+   * @returns whether the caller may have sent the job again through another instance since this owner accepted it
+   */
+  wasRepeatedElsewhere (jobId: string, ownerId: string, acceptedAt: number): boolean {
+    const repeat = this.#repeats.get(jobId)
+    return repeat !== undefined && repeat.ownerId !== ownerId && acceptedAt < repeat.acceptedAt
+  }
+
   /** Removes a job without an outcome and stops its runs. */
   dropJob (job: DispatchedJob, reason: string): void {
     this.removeJob(job)
-    this.log('job', 'job-dropped', { job: job.id, owner: job.ownerId, reason, started: job.started })
+    const confirmedMsAgo = Math.round(this.readElapsed() - this.owners.getConfirmedAt(job.connection))
+    this.log('job', 'job-dropped', { job: job.id, owner: job.ownerId, reason, started: job.started, ageMs: Math.round(this.now() - job.acceptedAt), confirmedMsAgo: Number.isFinite(confirmedMsAgo) ? confirmedMsAgo : undefined })
     this.#stopRuns(job)
   }
 
@@ -316,10 +361,11 @@
     this.#unreportedDone = new Map()
   }
 
-  /** Removes outcomes and rejections that have been kept for the retention time. */
+  /** Removes outcomes, rejections and repeats that have been kept for the retention time. */
   expireOutcomes (now: number): void {
     expireRecords(this.#outcomes, now)
     expireRecords(this.#rejections, now)
+    expireRecords(this.#repeats, now)
   }
 
   #stopRuns (job: DispatchedJob): void {
--- a/packages/fleet/src/dispatched-job.ts
+++ b/packages/fleet/src/dispatched-job.ts
@@ -26,11 +26,15 @@
 export class DispatchedJob implements QueuedJob {
   readonly spec: JobSpec
   readonly acceptedAt: number
+  /** Time at which its first owner accepted the job, by the clock that counts suspensions. */
+  readonly acceptedElapsed: number
+  /** Latest time at which its present owner, which is another one after a repeat, can have accepted the job. */
+  ownerAcceptedAt: number
   readonly objectiveAt: number
   readonly usefulUntil: number
   readonly receivedAt: number
   /** Time at which all runs that an earlier dispatcher started must have ended. */
-  readonly earlierRunsEndAt: number
+  earlierRunsEndAt: number
   readonly tasks: readonly TaskRecord[]
   /** Connection over which the owner submitted the job last; replies go over it and name that submission. */
   connection: OwnerConnection
@@ -47,7 +51,8 @@
   readonly #stepOffsets: readonly number[]
   #remainingTasks: number
 
-  constructor (submission: Submission, connection: OwnerConnection, now: number) {
+  /** @param elapsed - time at which it was received, by the clock that counts suspensions */
+  constructor (submission: Submission, connection: OwnerConnection, now: number, elapsed = now) {
     const { job } = submission
     this.spec = job
     this.connection = connection
@@ -55,6 +60,8 @@
     this.receivedAt = now
     this.earlierRunsEndAt = now + submission.quietInMs
     this.acceptedAt = now - submission.ageMs
+    this.acceptedElapsed = elapsed - submission.ageMs
+    this.ownerAcceptedAt = this.acceptedAt
     this.objectiveAt = this.acceptedAt + job.objectiveMs
     this.usefulUntil = this.acceptedAt + job.usefulMs
     this.started = submission.resubmitted
@@ -100,6 +107,16 @@
     this.#remainingTasks--
   }
 
+  /**
+   * Records that an earlier dispatcher may have started tasks of the job: those that wait may run at an unknown target.
+   *
+   * @param runsEndAt - time at which its runs must have ended
+   */
+  markUnlocated (runsEndAt: number): void {
+    this.earlierRunsEndAt = Math.max(this.earlierRunsEndAt, runsEndAt)
+    for (const task of this.tasks) if (task.state === 'waiting') task.state = 'unlocated'
+  }
+
   /** @returns whether all steps that the step depends on are done */
   isStepReady (stepIndex: number): boolean {
     return this.spec.steps[stepIndex]!.after.every(earlier => this.#remainingByStep[earlier] === 0)
--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -95,12 +95,16 @@
   #token = 0
   #load: LoadSummary | undefined
   #lingering = new Set<string>()
+  /** The list of the dispatcher before, whose runs may go on without being known to the present one. */
+  #earlierLingering: ReadonlySet<string> = new Set()
   #disconnectedAt: number
   #lastMessageAt = 0
   #pingedAt = -Infinity
   #checkedAt: number
   /** Time in milliseconds without a message, or without a connection, in which this process ran. */
   #observedMs = 0
+  /** Time at which the list of lingering jobs was last known to be current; undefined on a connection that has not received it. */
+  #listedAt: number | undefined
   /** Newest `sentAt` that was received on the current stream. */
   #heardSentAt: number | undefined
   #holder: Endpoint | undefined
@@ -153,9 +157,14 @@
     return Math.max(0, this.#earlierRunsEndAt - this.#options.clock.now())
   }
 
-  /** @returns whether the dispatcher reported that it may still hold the job or runs of it */
+  /** @returns milliseconds since the list of lingering jobs was last received; undefined if it was not on this connection */
+  measureListAgeMs (): number | undefined {
+    return this.#listedAt === undefined ? undefined : this.#options.clock.now() - this.#listedAt
+  }
+
+  /** @returns whether the dispatcher, or the one before it, reported that it may still hold the job or runs of it */
   isLingering (jobId: string): boolean {
-    return this.#lingering.has(jobId)
+    return this.#lingering.has(jobId) || (this.#earlierLingering.has(jobId) && this.measureQuietMs() > 0)
   }
 
   start (): void {
@@ -249,7 +258,7 @@
   #createHello (): OwnerMessage {
     const { self, domain } = this.#options
     this.#streamCount++
-    return { type: 'hello', instance: self.instance, incarnation: self.incarnation, domain, sequence: this.#streamCount }
+    return { type: 'hello', instance: self.instance, incarnation: self.incarnation, domain, sequence: this.#streamCount, expectsList: true }
   }
 
   /** @returns whether this process has a dispatcher of the domain */
@@ -301,7 +310,7 @@
       case 'stopped': this.#previousHasEnded = true; return
       case 'welcome':
         this.#heardSentAt = message.sentAt
-        this.#handleWelcome(message.token, endpoint)
+        this.#handleWelcome(message, endpoint)
         if (this.#connected && message.sentAt !== undefined) this.#replyToHeartbeat(message.sentAt)
         return
       case 'not-dispatching': this.#stream?.close('not dispatching'); return
@@ -319,7 +328,7 @@
     }
   }
 
-  #handleWelcome (token: number, endpoint: Endpoint): void {
+  #handleWelcome ({ token, lingering }: Extract<DispatcherMessage, { type: 'welcome' }>, endpoint: Endpoint): void {
     const entry = this.#options.directory.findDispatcher(this.domain)
     if (entry !== undefined && token < entry.revision * tokensPerRevision) {
       this.#stream?.close('the dispatcher is superseded')
@@ -329,6 +338,7 @@
     // The runs of an even earlier dispatcher may last longer than those of the last one.
     if (isNew) this.#earlierRunsEndAt = Math.max(this.#earlierRunsEndAt, this.#disconnectedAt + (this.#previousHasEnded ? endedDispatcherRunExpiryMs : lostDispatcherRunExpiryMs))
     this.#previousHasEnded = false
+    this.#acceptList(lingering, isNew)
     this.#connected = true
     this.#observedMs = 0
     this.#isHolderGone = false
@@ -343,6 +353,14 @@
     this.send({ type: 'heartbeat-reply', configurationVersion: this.#options.relay.version, heardSentAt })
   }
 
+  /** Accepts the list that comes with a welcome. A dispatcher of an earlier version sends it with its first heartbeat. */
+  #acceptList (lingering: readonly string[] | undefined, isNewDispatcher: boolean): void {
+    this.#listedAt = lingering === undefined ? undefined : this.#options.clock.now()
+    if (lingering === undefined) return
+    if (isNewDispatcher) this.#earlierLingering = this.#lingering
+    this.#lingering = new Set(lingering)
+  }
+
   #updateLingering ({ lingering, lingeringAdded = [], lingeringRemoved = [] }: HeartbeatMessage): void {
     if (lingering !== undefined) this.#lingering = new Set(lingering)
     for (const id of lingeringRemoved) this.#lingering.delete(id)
@@ -351,6 +369,7 @@
 
   #handleLoad (message: HeartbeatMessage | Extract<DispatcherMessage, { type: 'pong' }>): void {
     this.#load = message.load
+    this.#listedAt = this.#options.clock.now()
     this.#heardSentAt = message.sentAt
     const { current } = this.#options.relay
     if (current !== undefined && message.configurationVersion < current.version) this.send({ type: 'configuration', ...current })
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -129,11 +129,15 @@
     this.#mailbox.schedule()
   }
 
-  /** Registers the connection of an owner and sends it the token. */
-  addOwner (connection: OwnerConnection): void {
-    const now = this.#state.now()
-    this.#state.owners.add(connection, now)
-    connection.send({ type: 'welcome', token: this.#token, sentAt: now })
+  /**
+   * Registers the connection of an owner and sends it the token.
+   *
+   * @param lingering - ids of jobs that a resubmission may concern, if the owner expects them with the welcome
+   */
+  addOwner (connection: OwnerConnection, lingering?: readonly string[]): void {
+    const sentAt = this.#state.readElapsed()
+    this.#state.owners.add(connection, sentAt)
+    connection.send({ type: 'welcome', token: this.#token, sentAt, ...(lingering === undefined ? {} : { lingering }) })
   }
 
   /** Handles the end of an owner's connection. Its jobs are kept for a while in case it reconnects. */
@@ -159,10 +163,10 @@
    */
   listLingering (): readonly string[] {
     const { jobs, runs, owners } = this.#state
-    const acceptedBefore = this.#state.now() - this.#options.limits.resubmitMs + resubmitMarginMs
+    const acceptedBefore = this.#state.readElapsed() - this.#options.limits.resubmitMs + resubmitMarginMs
     const ids = new Set<string>()
     for (const job of jobs.values()) {
-      if (job.acceptedAt < acceptedBefore || !owners.isConnected(job.ownerId)) ids.add(job.id)
+      if (job.acceptedElapsed < acceptedBefore || !owners.isConnected(job.ownerId)) ids.add(job.id)
     }
     for (const { run } of runs.values()) {
       const jobId = run.name?.jobId
@@ -174,13 +178,14 @@
   #handleHeartbeat (connection: OwnerConnection, heardSentAt: number | undefined): void {
     const { owners } = this.#state
     // Owners of an earlier version don't send back what they have heard.
-    owners.confirm(connection, heardSentAt ?? this.#state.now())
+    owners.confirm(connection, heardSentAt ?? this.#state.readElapsed())
     if (heardSentAt !== undefined) owners.markAnswered(connection)
   }
 
   #handleMessage (connection: OwnerConnection, message: OwnerMessage): void {
-    // The owner submits all its jobs again on its newest connection.
-    if (this.#state.owners.isSuperseded(connection)) {
+    // The owner submits all its jobs again on its newest connection, but not those that it has cancelled before.
+    const isCancellation = message.type === 'cancel' && message.submissionId !== undefined
+    if (!isCancellation && this.#state.owners.isSuperseded(connection)) {
       this.#state.log('job', 'message-ignored', { owner: connection.ownerId, type: message.type, reason: 'superseded connection' })
       return
     }
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -1,7 +1,7 @@
 import { decideAdmission, selectJobsToShed } from './admission.js'
 import { type DispatchState, type ReleaseEvidence } from './dispatch-state.js'
 import { DispatchedJob } from './dispatched-job.js'
-import { type RejectionReason } from './job-types.js'
+import { type JobOutcome, type RejectionReason } from './job-types.js'
 import { estimateLoad, sumWaitingWork } from './load-estimates.js'
 import { type Submission } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
@@ -14,6 +14,8 @@
 /** Shortest retry delay in milliseconds that a caller is told. */
 const minRetryMs = 100
 
+const repeatedElsewhere: JobOutcome = { kind: 'unknown', reason: 'repeated-elsewhere' }
+
 /** A request of an owner about one of its jobs. */
 export interface OwnersRequest {
   readonly jobId: string
@@ -44,8 +46,10 @@
   handleSubmission (connection: OwnerConnection, submission: Submission, findReleaseEvidence: (job: DispatchedJob) => ReleaseEvidence | undefined): void {
     const state = this.#state
     const known = state.jobs.get(submission.job.id)
+    if (known !== undefined) this.#noteEarlierRuns(connection, known, submission, findReleaseEvidence)
+    if (this.#refuseEarlierOwner(connection, submission)) return
     if (known !== undefined) {
-      this.#attachOwner(connection, known, submission.submissionId)
+      this.#attachOwner(connection, known, submission)
       return
     }
     const outcome = submission.resubmitted ? state.findOutcome(submission.job.id) : undefined
@@ -53,7 +57,7 @@
       connection.send({ type: 'ended', jobId: submission.job.id, outcome, submissionId: submission.submissionId })
       return
     }
-    const job = new DispatchedJob(submission, connection, state.now())
+    const job = new DispatchedJob(submission, connection, state.now(), state.readElapsed())
     const hasKnownRuns = this.#adoptKnownRuns(job)
     if (this.#hasUnconfirmedStart(job)) {
       state.reply(job, { type: 'ended', jobId: job.id, outcome: { kind: 'unknown', reason: 'start-unconfirmed' } })
@@ -77,12 +81,20 @@
   cancel (connection: OwnerConnection, { jobId, submissionId }: OwnersRequest, reason: string): void {
     const job = this.#findOwned(connection, jobId, submissionId)
     if (job !== undefined) this.#state.dropJob(job, reason)
+    else this.#logIgnoredCancellation(connection, jobId, submissionId)
+  }
+
+  /** Logs why a cancellation has no effect, unless the job has ended. */
+  #logIgnoredCancellation (connection: OwnerConnection, jobId: string, submissionId: number | undefined): void {
+    const known = this.#state.jobs.get(jobId)
+    if (known === undefined) return
+    this.#state.log('job', 'cancellation-ignored', { job: jobId, owner: connection.ownerId, submission: submissionId, holder: known.ownerId, newest: known.submissionId })
   }
 
-  /** Drops a job regardless of its owner, and replies whether it was known. */
+  /** Ends a job regardless of its owner, and replies whether it was known. */
   cancelAny (connection: OwnerConnection, jobId: string): void {
     const job = this.#state.jobs.get(jobId)
-    if (job !== undefined) this.#state.dropJob(job, 'cancelled by a caller')
+    if (job !== undefined) this.#state.endJob(job, { kind: 'failed', reason: 'cancelled' })
     connection.send({ type: 'cancelled-any', jobId, found: job !== undefined })
   }
 
@@ -112,6 +124,7 @@
   #addJob (connection: OwnerConnection, job: DispatchedJob, evidence: ReleaseEvidence | undefined): void {
     const state = this.#state
     state.jobs.set(job.id, job)
+    state.forgetRejection(job)
     state.owners.trackOwner(connection.ownerId)
     if (job.isComplete) state.endJob(job, { kind: 'completed' })
     else if (evidence !== undefined) state.releaseUnlocatedTasks(job, evidence, { atSubmission: true })
@@ -119,10 +132,43 @@
     else if (job.hasStartableTask()) state.queue.add(job)
   }
 
-  #attachOwner (connection: OwnerConnection, job: DispatchedJob, submissionId: number | undefined): void {
-    this.#state.log('job', 'job-attached', { job: job.id, owner: connection.ownerId, previous: job.ownerId })
+  /** Another owner than the job's own may know of an earlier dispatcher that has started it. */
+  #noteEarlierRuns (connection: OwnerConnection, job: DispatchedJob, { resubmitted, quietInMs }: Submission, findReleaseEvidence: (job: DispatchedJob) => ReleaseEvidence | undefined): void {
+    if (!resubmitted || connection.ownerId === job.ownerId || findReleaseEvidence(job) === 'targets-polled') return
+    job.markUnlocated(this.#state.now() + quietInMs)
+    this.#state.queue.delete(job)
+    this.#state.unlocatedJobs.add(job)
+  }
+
+  /**
+   * Refuses a job whose caller has sent it again through another instance: this owner doesn't know yet that its
+   * caller has left, and the job is the other one's.
+   *
+   * @returns whether the submission was refused
+   */
+  #refuseEarlierOwner (connection: OwnerConnection, { job, submissionId, ageMs, suspendedMs = 0 }: Submission): boolean {
+    const { jobs } = this.#state
+    const acceptedAt = this.#state.now() - ageMs - suspendedMs
+    const known = jobs.get(job.id)
+    // The owner of the repeat may have submitted the job first, after a takeover.
+    if (known !== undefined && known.ownerId !== connection.ownerId && acceptedAt < known.ownerAcceptedAt) this.#state.recordRepeat(known)
+    if (!this.#state.wasRepeatedElsewhere(job.id, connection.ownerId, acceptedAt)) return false
+    this.#state.log('job', 'submission-refused', { job: job.id, owner: connection.ownerId, submission: submissionId, reason: 'repeated-elsewhere', ageMs: Math.round(ageMs) })
+    connection.send({ type: 'ended', jobId: job.id, outcome: repeatedElsewhere, submissionId })
+    return true
+  }
+
+  /** Hands a job over to the owner through which its caller has sent it again, or attaches its owner's next connection. */
+  #attachOwner (connection: OwnerConnection, job: DispatchedJob, { submissionId, ageMs }: Submission): void {
+    const isRepeat = connection.ownerId !== job.ownerId
+    if (isRepeat) {
+      job.ownerAcceptedAt = this.#state.now() - ageMs
+      this.#state.reply(job, { type: 'ended', jobId: job.id, outcome: repeatedElsewhere })
+    }
+    this.#state.log('job', 'job-attached', { job: job.id, owner: connection.ownerId, previous: job.ownerId, ageMs: Math.round(this.#state.now() - job.acceptedAt) })
     job.connection = connection
     job.submissionId = submissionId
+    if (isRepeat) this.#state.recordRepeat(job)
     this.#state.owners.trackOwner(connection.ownerId)
     if (job.started) connection.send({ type: 'started', jobIds: [job.id] })
     const done = job.listDone()
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -6,7 +6,7 @@
 import { type JobSpec, type RejectionReason } from './job-types.js'
 import { type FleetLimits } from './limits.js'
 import { type DispatcherMessage, type LoadSummary } from './messages.js'
-import { type JobAnswer, OwnedJob } from './owned-job.js'
+import { type JobAnswer, OwnedJob, type SubmissionRecord } from './owned-job.js'
 import { startPeriodicTimer } from './periodic-timer.js'
 
 /** Interval in milliseconds between checks of all jobs for expiry and for lost dispatchers. */
@@ -89,7 +89,7 @@
    */
   submit (spec: JobSpec, callerTimeoutMs: number): JobHandle {
     const known = this.#jobs.get(spec.id)
-    const job = known ?? new OwnedJob(spec, callerTimeoutMs, this.#options.clock.now())
+    const job = known ?? new OwnedJob(spec, callerTimeoutMs, this.#options.clock.now(), this.#options.clock.readElapsed())
     let waiter: (answer: JobAnswer) => void = () => {}
     const answer = new Promise<JobAnswer>(resolve => { waiter = resolve })
     job.addWaiter(waiter)
@@ -192,12 +192,18 @@
 
   /** Submits a job without a dispatcher: to one that may still hold it, else to the domain with the shortest expected wait. */
   #assignDispatcher (job: OwnedJob): void {
-    const connected = [...this.#connections.values()].filter(connection => connection.isConnected)
-    const holder = connected.find(connection => connection.isLingering(job.spec.id) && !job.rejectedBy.has(connection.domain))
-    const options = connected
+    const holder = this.#findHolder(job)
+    if (holder !== undefined) {
+      if (holder.isConnected) this.#submitTo(job, holder, true)
+      // It is submitted once the domain has a dispatcher again, or no run of it can exist there any more.
+      else job.mayHaveStarted = true
+      return
+    }
+    const options = [...this.#connections.values()]
+      .filter(connection => connection.isConnected)
       .filter(connection => !job.rejectedBy.has(connection.domain))
       .map(connection => ({ domain: connection.domain, load: connection.load, isHome: connection.domain === this.#options.homeDomain }))
-    const chosen = holder?.domain ?? chooseDomain(options, job.demand)?.domain
+    const chosen = chooseDomain(options, job.demand)?.domain
     if (chosen === undefined) {
       if (job.rejectedBy.size > 0) this.#answerJob(job, createRejection(job, 'overloaded'))
       return
@@ -205,8 +211,16 @@
     this.#submitTo(job, this.#connections.get(chosen)!, job.mayHaveStarted)
   }
 
+  /** @returns the connection to a dispatcher that lists the job, or that did so before it was lost; a connected one first */
+  #findHolder (job: OwnedJob): DispatcherConnection | undefined {
+    const holders = [...this.#connections.values()].filter(({ domain }) => !job.rejectedBy.has(domain)).filter(connection => connection.isLingering(job.spec.id))
+    return holders.find(({ isConnected }) => isConnected) ?? holders.find(connection => connection.measureLostMs() <= lostDispatcherRunExpiryMs)
+  }
+
   #submitTo (job: OwnedJob, connection: DispatcherConnection, resubmitted: boolean): void {
     const now = this.#options.clock.now()
+    const ageMs = now - job.acceptedAt
+    const suspendedMs = Math.max(0, this.#options.clock.readElapsed() - job.acceptedElapsed - ageMs)
     const { load, domain, token } = connection
     const last = job.location.kind === 'none' ? undefined : job.location
     const isSameDispatcher = last?.domain === domain && last.token === token
@@ -214,9 +228,9 @@
     const submissionId = ++this.#lastSubmissionId
     job.location = { kind: 'submitted', domain, token, submissionId, submittedAt: now, isFirstDispatcher }
     const quietInMs = resubmitted ? Math.round(connection.measureQuietMs()) : 0
-    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(now - job.acceptedAt), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs })
+    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(ageMs), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs, listAgeMs: roundOptional(connection.measureListAgeMs()), unlisted: this.#countUnlisted() })
     connection.reserveProcessors(job.demand.processors)
-    connection.send({ type: 'submit', submissionId, job: job.spec, ageMs: now - job.acceptedAt, resubmitted, quietInMs, done: [...job.done] })
+    connection.send({ type: 'submit', submissionId, job: job.spec, ageMs, ...(suspendedMs > 0 ? { suspendedMs } : {}), resubmitted, quietInMs, done: [...job.done] })
   }
 
   #handleRejection (connection: DispatcherConnection, { jobId, submissionId, reason, retryAfterMs }: Reply<'rejected'>): void {
@@ -310,10 +324,21 @@
 
   /** Cancels a job at its dispatcher, if it has one, and answers its callers. */
   #cancelAndAnswer (job: OwnedJob, answer: JobAnswer, reason: string): void {
-    if (job.location.kind !== 'none') this.#connections.get(job.location.domain)?.send({ type: 'cancel', jobId: job.spec.id, reason, submissionId: job.location.submissionId })
+    if (job.location.kind !== 'none') this.#cancelAtDispatcher(job.spec.id, job.location, reason)
     this.#answerJob(job, answer)
   }
 
+  #cancelAtDispatcher (jobId: string, { domain, submissionId }: SubmissionRecord, reason: string): void {
+    const connection = this.#connections.get(domain)
+    if (connection?.isConnected !== true) this.#options.log.log('job', 'cancellation-not-sent', { job: jobId, submission: submissionId, domain, lostMs: roundOptional(connection?.measureLostMs()) })
+    connection?.send({ type: 'cancel', jobId, reason, submissionId })
+  }
+
+  /** @returns number of domains of whose dispatcher this instance does not know the lingering jobs */
+  #countUnlisted (): number {
+    return [...this.#connections.values()].filter(connection => !connection.isConnected || connection.measureListAgeMs() === undefined).length
+  }
+
   /** Ends a job without a result; answers `rejected` only if no task of it can have started. */
   #abortJob (job: OwnedJob, reason: string): void {
     const cannotHaveStarted = job.location.kind === 'none' && !job.mayHaveStarted
@@ -345,3 +370,7 @@
 function createRejection (job: OwnedJob, reason: RejectionReason): JobAnswer {
   return job.mayHaveStarted ? { kind: 'unknown', reason } : { kind: 'rejected', reason, retryAfterMs: job.retryAfterMs }
 }
+
+function roundOptional (value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value)
+}
--- a/packages/fleet/src/job-types.ts
+++ b/packages/fleet/src/job-types.ts
@@ -37,9 +37,9 @@
 /** Outcome of a job that a dispatcher has ended. */
 export type JobOutcome =
   | { readonly kind: 'completed' }
-  | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' }
-  /** Tasks may have started, and the job is not continued. */
-  | { readonly kind: 'unknown', readonly reason: 'start-unconfirmed' }
+  | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' | 'cancelled' }
+  /** Tasks may have started, and the job is not continued for this owner; `repeated-elsewhere`: its caller has sent it again through another instance. */
+  | { readonly kind: 'unknown', readonly reason: 'start-unconfirmed' | 'repeated-elsewhere' }
 
 /** Reason why a dispatcher rejected a job. */
 export type RejectionReason = 'overloaded' | 'not-dispatching' | 'stopping' | 'no-target' | 'fits-no-target'
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -8,8 +8,10 @@
    */
   readonly submissionId?: number
   readonly job: JobSpec
-  /** Time in milliseconds since the owner accepted the job. */
+  /** Time in milliseconds since the owner accepted the job, by its monotonic clock. */
   readonly ageMs: number
+  /** Time in milliseconds for which the owner's machine may have been suspended since then; earlier versions omit it. */
+  readonly suspendedMs?: number
   /** Whether an earlier dispatcher of the domain may have started the job. */
   readonly resubmitted: boolean
   /** Time in milliseconds until all runs of the job that an earlier dispatcher started have ended. */
@@ -33,8 +35,11 @@
 
 /** Messages from an owner to a dispatcher. */
 export type OwnerMessage =
-  /** `sequence` rises with each connection that the owner opens to the domain; earlier versions omit it. */
-  | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number }
+  /**
+   * `sequence` rises with each connection that the owner opens to the domain; `expectsList` asks for the list of
+   * lingering jobs in the welcome. Earlier versions omit both.
+   */
+  | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number, readonly expectsList?: boolean }
   /** Answers a heartbeat, or the welcome; `heardSentAt` is its `sentAt`. */
   | { readonly type: 'heartbeat-reply', readonly configurationVersion: number, readonly heardSentAt: number }
   /** Asks a dispatcher that has been silent for a pong. `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
@@ -49,11 +54,11 @@
 /** Periodic message of a dispatcher to all its owners, who answer it at once. */
 export interface HeartbeatMessage {
   readonly type: 'heartbeat'
-  /** The dispatcher's monotonic time in milliseconds. */
+  /** The dispatcher's time in milliseconds, by its monotonic clock plus all suspensions of its machine. */
   readonly sentAt: number
   readonly load: LoadSummary
   readonly configurationVersion: number
-  /** Ids of all jobs that a resubmission may concern; only in the first heartbeat on a connection. */
+  /** Ids of all jobs that a resubmission may concern; only on a connection on which the list was not sent yet. */
   readonly lingering?: readonly string[]
   /** Changes of that list since the last heartbeat; absent if there are none. */
   readonly lingeringAdded?: readonly string[]
@@ -63,14 +68,17 @@
 /** Messages from a dispatcher to an owner. */
 export type DispatcherMessage =
   | HeartbeatMessage
-  /** `sentAt` is the dispatcher's monotonic time in milliseconds; earlier versions omit it. */
-  | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number }
+  /**
+   * `sentAt` is the dispatcher's time, as in a heartbeat. `lingering` holds the ids of all jobs that a
+   * resubmission may concern; the next heartbeat carries the changes. Earlier versions omit both.
+   */
+  | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number, readonly lingering?: readonly string[] }
   /** The dispatcher has stopped: it sends no more orders and renews no leases. */
   | { readonly type: 'stopped' }
   | { readonly type: 'not-dispatching', readonly incarnation: string }
   /**
    * Answers a ping. `lingering` holds the ids of jobs that a resubmission may concern.
-   * `sentAt` is the dispatcher's monotonic time in milliseconds; earlier versions omit it.
+   * `sentAt` is the dispatcher's time, as in a heartbeat; earlier versions omit it.
    */
   | { readonly type: 'pong', readonly sentAt?: number, readonly load: LoadSummary, readonly lingering?: readonly string[], readonly configurationVersion: number }
   | { readonly type: 'started', readonly jobIds: readonly string[] }
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -39,8 +39,8 @@
   lastMessageAt: number
   /** Time in milliseconds without a message in which this process ran. */
   observedSilentMs = 0
-  /** Whether a heartbeat was sent on the connection. */
-  hasHeartbeat = false
+  /** Whether the list of lingering jobs was sent on the connection. */
+  hasList = false
   lastSentConfigurationVersion = 0
 
   constructor (hello: HelloMessage, stream: PeerStream, now: number) {
@@ -189,7 +189,8 @@
     }
     const connection = new StreamConnection(hello, stream, this.#clock.now())
     this.#connections.set(connection, hello.domain)
-    dispatcher.addOwner(connection)
+    connection.hasList = hello.expectsList === true
+    dispatcher.addOwner(connection, connection.hasList ? this.#heartbeats.get(hello.domain)?.listForWelcome() : undefined)
     return connection
   }
 
@@ -212,20 +213,20 @@
     const isLargeFleet = this.#connections.size > largeFleetOwners
     if (this.#dispatchers.size === 0 || (isLargeFleet && now - this.#lastHeartbeatAt < largeFleetHeartbeatIntervalMs - heartbeatIntervalMs / 2)) return
     this.#lastHeartbeatAt = now
-    for (const [domain, source] of this.#heartbeats) this.#sendHeartbeat(domain, source, now)
+    for (const [domain, source] of this.#heartbeats) this.#sendHeartbeat(domain, source)
   }
 
-  #sendHeartbeat (domain: string, source: HeartbeatSource, now: number): void {
-    const heartbeat = source.createNext(now, this.#relay.version)
+  #sendHeartbeat (domain: string, source: HeartbeatSource): void {
+    const heartbeat = source.createNext(this.#clock.readElapsed(), this.#relay.version)
     for (const [connection, connectedDomain] of this.#connections) {
       if (connectedDomain !== domain) continue
-      connection.send(connection.hasHeartbeat ? heartbeat : source.completeForNewOwner(heartbeat))
-      connection.hasHeartbeat = true
+      connection.send(connection.hasList ? heartbeat : source.completeForNewOwner(heartbeat))
+      connection.hasList = true
     }
   }
 
   #sendPong (connection: StreamConnection, dispatcher: Dispatcher): void {
-    connection.send({ type: 'pong', sentAt: this.#clock.now(), load: dispatcher.summarizeLoad(), configurationVersion: this.#relay.version, lingering: dispatcher.listLingering() })
+    connection.send({ type: 'pong', sentAt: this.#clock.readElapsed(), load: dispatcher.summarizeLoad(), configurationVersion: this.#relay.version, lingering: dispatcher.listLingering() })
   }
 
   /** Sends the configuration in force to an owner that has an older one, once for each version. */
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -50,6 +50,8 @@
   #info: TargetInfo
   /** Unix time in milliseconds at which the current incarnation of the target started. */
   #bornMs: number | undefined
+  /** Monotonic local time in milliseconds at which the first view of the current incarnation arrived. */
+  #bornSeenAt = -Infinity
   /** Number of the last end of a run that was processed. */
   #lastSeenEnd = 0
   #seen = false
@@ -75,7 +77,7 @@
     this.#observer = observer
     this.#unansweredOrders = unansweredOrders
     this.#orderBlocker = new OrderBlocker(clock, limits.lateOrderMs, async ({ task, attempt }) => await connection.stop({ task, attempt, token: this.#readToken() }, this.#orderTimeout.timeoutMs))
-    this.#pollLoop = new PollLoop(clock, () => this.#chooseWait(), async waitMs => await this.#poll(waitMs))
+    this.#pollLoop = new PollLoop(clock, () => this.#chooseWait(), async waitMs => await this.#poll(waitMs), error => { observer.onError(error) })
   }
 
   get info (): TargetInfo { return this.#info }
@@ -254,18 +256,23 @@
 
   #handleView (view: TargetView, sentAt: number, now: number): void {
     if (view.bornMs !== undefined && this.#bornMs !== undefined && view.bornMs !== this.#bornMs) {
-      if (view.bornMs < this.#bornMs) return
+      // An earlier birth in the answer to a later poll means that the target's clock was set back before it restarted.
+      if (view.bornMs < this.#bornMs && sentAt <= this.#bornSeenAt) return
       const { bornMs } = view
       this.#resetIncarnation()
       this.#bornMs = bornMs
+      this.#bornSeenAt = now
       this.#endEarlierIncarnation()
       this.#observer.onTargetChanged(this, 'restarted')
     }
     const isFirstOfIncarnation = this.#bornMs === undefined
+    if (isFirstOfIncarnation) this.#bornSeenAt = now
     this.#bornMs = view.bornMs ?? this.#bornMs
     // An earlier session with this incarnation, or with one before it, may have left orders unanswered.
     if (isFirstOfIncarnation) this.#blockUnansweredOrders(now)
     this.#targetClock.recordReply(view.clockMs, now)
+    // An earlier dispatcher, whom a new incarnation doesn't refuse yet, may have extended the leases just before.
+    if (!this.#seen) this.#targetClock.recordLeaseEnd(view.clockMs + this.#limits.maxLeaseMs)
     this.#lastViewAt = now
     this.#processEnds(view)
     this.#processRunning(view, now)
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -9,6 +9,17 @@
 /** Attempt numbers reserved per token for each task, so that numbers under later tokens are higher. */
 const attemptsPerToken = 64
 
+/** What the decisions of one round of starts share. */
+interface Round {
+  /** Monotonic time in milliseconds by which the round decides. */
+  readonly now: number
+  /** Milliseconds by which the clock that counts suspensions is ahead. */
+  readonly elapsedLeadMs: number
+  readonly candidates: readonly SessionCandidate[]
+  /** Keys of demands that fit no target any more. */
+  readonly fullFor: Set<string>
+}
+
 /** Starts waiting tasks at targets with free capacity. */
 export class TaskScheduler {
   readonly #state: DispatchState
@@ -37,32 +48,28 @@
     if (fitting.length === 0) return
     const smallestDemand = fitting.reduce((smallest, job) => Math.min(smallest, job.smallestDemand), Infinity)
     const hasRoom = ({ freeCapacity }: TargetSession | SessionCandidate): boolean => freeCapacity.processors >= smallestDemand
-    let candidates = usable.filter(hasRoom).map(session => new SessionCandidate(session))
-    const fullFor = new Set<string>()
+    let round: Round = { now, elapsedLeadMs: this.#state.measureElapsedLead(), candidates: usable.filter(hasRoom).map(session => new SessionCandidate(session)), fullFor: new Set() }
     const newlyStarted = new Map<string, string[]>()
     for (const job of sortQueue(fitting, now)) {
-      if (candidates.length === 0) break
+      if (round.candidates.length === 0) break
       const wasStarted = job.started
-      const startCount = this.#startTasksOf(job, candidates, fullFor, now)
+      const startCount = this.#startTasksOf(job, round)
       if (job.started && !wasStarted) newlyStarted.set(job.ownerId, [...newlyStarted.get(job.ownerId) ?? [], job.id])
       if (!job.hasStartableTask()) queue.delete(job)
-      if (startCount > 0) candidates = candidates.filter(hasRoom)
+      if (startCount > 0) round = { ...round, candidates: round.candidates.filter(hasRoom) }
     }
     for (const [ownerId, jobIds] of newlyStarted) this.#state.owners.send(ownerId, { type: 'started', jobIds })
   }
 
-  /**
-   * @param fullFor - keys of demands that fit no target any more in this round
-   * @returns the number of tasks that were started
-   */
-  #startTasksOf (job: DispatchedJob, candidates: readonly SessionCandidate[], fullFor: Set<string>, now: number): number {
-    if (this.#state.computeRunLimit(job) < now + startWindowMs) return 0
+  /** @returns the number of tasks that were started */
+  #startTasksOf (job: DispatchedJob, round: Round): number {
+    if (this.#state.computeRunLimit(job, round.elapsedLeadMs) < round.now + startWindowMs) return 0
     let count = 0
     for (const task of job.tasks) {
       if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex)) continue
-      const target = this.#pickTarget(job, task, candidates, fullFor, now)
+      const target = this.#pickTarget(job, task, round)
       if (target === undefined) continue
-      this.#startTask(job, task, target.session, now)
+      this.#startTask(job, task, target.session, round.now)
       count++
     }
     return count
@@ -72,12 +79,12 @@
    * A start order also extends the leases of the target's other runs, so the target must not have one whose
    * owner may be lost. A lease belongs to the target, so the task may last until the latest one that was granted there.
    */
-  #pickTarget (job: DispatchedJob, task: TaskRecord, candidates: readonly SessionCandidate[], fullFor: Set<string>, now: number): SessionCandidate | undefined {
+  #pickTarget (job: DispatchedJob, task: TaskRecord, { now, elapsedLeadMs, candidates, fullFor }: Round): SessionCandidate | undefined {
     const step = job.getStep(task)
     const key = formatDemandKey(job.spec.service, step)
     if (fullFor.has(key)) return undefined
     const countRunsOfStep = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.stepIndex)
-    const runLimit = this.#state.computeRunLimit(job)
+    const runLimit = this.#state.computeRunLimit(job, elapsedLeadMs)
     let usable = candidates
     for (;;) {
       const target = pickTarget(usable, job.spec.service, step, countRunsOfStep, this.#remoteFactor)
@@ -87,7 +94,7 @@
         return undefined
       }
       // A start in this round may have made the target unusable.
-      const isWithinLimit = target.session.leasesEndAt <= runLimit && this.#state.computeLeaseLimit(target.session) >= now + startWindowMs
+      const isWithinLimit = target.session.leasesEndAt <= runLimit && this.#state.computeLeaseLimit(target.session, elapsedLeadMs) >= now + startWindowMs
       if (isWithinLimit && target.session.isUsable(now)) return target
       usable = usable.filter(candidate => candidate !== target)
     }
