Claim a domain only after the first attempt to reach its dispatcher

Cause: an instance that starts counts the domain as lost from its start on, and ranks before the dispatcher, as the later start goes first. Its first attempt to connect may take up to 200 ms for the connection and 200 ms for the welcome, but it claimed after 100 ms.

Ruled out: the dispatchers were silent. They had been heard by all other instances 1 to 79 ms before.

Change: a holder that this instance has neither reached nor failed to reach makes no candidate. An instance that loses a working connection, or whose first attempt is refused, claims as early as before. An attempt that is under way stops trying the successors of a row that is no longer the newest.

--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -61,7 +61,7 @@
   readonly lateOrders: LateOrders = { probability: 0 }
   readonly targets = new Map<string, EmulatedTarget>()
   readonly instances = new Map<string, EmulatedInstance>()
-  readonly #peers = new EmulatedPeerNetwork(this.network)
+  readonly peers = new EmulatedPeerNetwork(this.network)
   readonly #options: EmulatedFleetOptions
   #jobCount = 0
 
@@ -87,19 +87,19 @@
 
   /** Ends an instance at once, without a handover; its connections close at their remote ends. */
   killInstance (instance: string): void {
-    this.#peers.removeServer(instance)
+    this.peers.removeServer(instance)
     this.#endInstance(instance, true)
   }
 
   /** Ends an instance as a power loss does: its connections only fall silent. */
   powerOffInstance (instance: string): void {
-    this.#peers.powerOff(instance)
+    this.peers.powerOff(instance)
     this.#endInstance(instance, false)
   }
 
   /** Resets the connections between an instance, which goes on, and the others. */
   resetStreams (instance: string): void {
-    this.#peers.resetStreams(instance)
+    this.peers.resetStreams(instance)
   }
 
   /** @returns the instance whose dispatcher of a domain has the highest token, or undefined when there is none */
@@ -217,13 +217,13 @@
         onSuperseded
       })
     })
-    const connections = this.#options.domains.map(domain => new DispatcherConnection({ domain, self, directory, connector: this.#peers.connect(self.instance), local: server, relay, clock, log, observer: owner }))
+    const connections = this.#options.domains.map(domain => new DispatcherConnection({ domain, self, directory, connector: this.peers.connect(self.instance), local: server, relay, clock, log, observer: owner }))
     for (const connection of connections) {
       owner.addConnection(connection)
       election.addConnection(connection)
     }
     directory.addObserver({ onDirectoryChanged: () => { election.onDirectoryChanged() } })
-    this.#peers.addServer(self.instance, server)
+    this.peers.addServer(self.instance, server)
     directory.start()
     targets.start()
     for (const connection of connections) connection.start()
--- a/packages/emulator/src/emulated-peer-network.ts
+++ b/packages/emulator/src/emulated-peer-network.ts
@@ -2,7 +2,7 @@
 import { type EmulatedNetwork } from './emulated-network.js'
 
 /** Time in milliseconds in which a connection is opened or refused. */
-const connectDurationMs = 1
+const usualConnectDurationMs = 1
 
 const refused = { kind: 'refused', message: 'ECONNREFUSED' } as const
 
@@ -57,6 +57,8 @@
 
 /** Streams between the instances, over the emulated network. */
 export class EmulatedPeerNetwork {
+  /** Time in milliseconds in which connections are opened or refused; a full link makes it longer. */
+  connectDurationMs = usualConnectDurationMs
   readonly #servers = new Map<string, OwnerServer>()
   readonly #streams = new Map<string, Set<StreamEnd>>()
   readonly #poweredOff = new Set<string>()
@@ -109,7 +111,7 @@
       await this.#wait(from, timeoutMs)
       return { kind: 'unreachable', message: 'timeout' }
     }
-    await this.#wait(from, connectDurationMs)
+    await this.#wait(from, this.connectDurationMs)
     const server = this.#servers.get(to)
     if (server === undefined) return refused
     const nearEnd = new StreamEnd(from, to, this.#network)
@@ -130,7 +132,7 @@
   }
 
   async #refuse (endpoint: string): Promise<PeerOpenResult> {
-    await this.#wait(endpoint, connectDurationMs)
+    await this.#wait(endpoint, this.connectDurationMs)
     return refused
   }
 
--- a/packages/fleet/src/candidacy.ts
+++ b/packages/fleet/src/candidacy.ts
@@ -36,6 +36,8 @@
   readonly members: readonly InstanceEntry[]
   /** Milliseconds for which the domain's named dispatcher has been unreachable. */
   readonly lostMs: number
+  /** Whether the first attempt to connect to the named dispatcher has not ended yet. */
+  readonly isHolderUntried: boolean
   /** Index in the successor list of the domain's row; undefined if the row does not name this instance. */
   readonly successorRank: number | undefined
   /** Whether the store answered this instance's last call. */
@@ -48,10 +50,12 @@
 
 /**
  * Decides whether an instance should try to become the dispatcher of a domain. The delay grows with
- * the rank, so a candidate acts only if all candidates that rank before it have failed to.
+ * the rank, so a candidate acts only if all candidates that rank before it have failed to. The first attempt
+ * to connect to a holder may last longer than that over a full link, and says nothing until it ends.
  */
 export function decideCandidacy (inputs: CandidacyInputs): CandidacyDecision {
-  const { self, domain, members, lostMs, successorRank, storeReachable, formerHolder } = inputs
+  const { self, domain, members, lostMs, isHolderUntried, successorRank, storeReachable, formerHolder } = inputs
+  if (isHolderUntried) return 'wait'
   if (!storeReachable) {
     if (successorRank === undefined) return 'wait'
     return lostMs >= storelessTakeoverDelayMs + successorRank * delayPerRankMs ? 'take-over-without-store' : 'wait'
--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -97,6 +97,8 @@
   #holder: Endpoint | undefined
   /** Whether the last attempt proved that the named holder no longer dispatches. */
   #isHolderGone = false
+  /** Incarnation of the last holder that was connected, or to which an attempt to connect has ended. */
+  #triedIncarnation: string | undefined
   /** Whether the previously connected dispatcher has provably ended. */
   #previousHasEnded = false
   /** Clock time by which all runs that earlier dispatchers started for this owner have ended. */
@@ -119,6 +121,12 @@
   /** Whether the holder that the directory names has proved not to dispatch any more. */
   get isHolderGone (): boolean { return this.#isHolderGone }
 
+  /** Whether the first attempt to connect to the holder that the directory names has not ended yet. */
+  get isHolderUntried (): boolean {
+    const entry = this.#options.directory.findDispatcher(this.domain)
+    return entry !== undefined && entry.incarnation !== this.#triedIncarnation
+  }
+
   /** @returns milliseconds without a connection; 0 while connected */
   measureLostMs (): number {
     return this.#connected ? 0 : this.#options.clock.now() - this.#disconnectedAt
@@ -202,13 +210,17 @@
     if (entry === undefined) return
     for (const endpoint of [entry, ...entry.successors]) {
       if (endpoint.incarnation === this.#options.self.incarnation) continue
-      const isGone = await this.#tryEndpoint(endpoint)
+      const isGone = await this.#tryEndpoint(endpoint).finally(() => {
+        if (endpoint.incarnation === entry.incarnation) this.#triedIncarnation = entry.incarnation
+      })
       if (endpoint.incarnation === entry.incarnation) this.#isHolderGone = isGone
       if (isGone && endpoint.incarnation === this.#holder?.incarnation) this.#previousHasEnded = true
       if (this.#connected || this.#closed) return
       // This instance may have become the dispatcher meanwhile: a domain without one is claimed by its
       // instances, and only in that case are the successors worth trying.
       if (this.#connectLocally()) return
+      // A row that was written meanwhile names another holder, which is tried at the next check.
+      if (this.#options.directory.findDispatcher(this.domain)?.incarnation !== entry.incarnation) return
     }
   }
 
@@ -294,6 +306,7 @@
     this.#previousHasEnded = false
     this.#connected = true
     this.#isHolderGone = false
+    this.#triedIncarnation = endpoint.incarnation
     this.#token = token
     this.#holder = endpoint
     this.#options.log.log('belief', 'dispatcher-linked', { domain: this.domain, holder: endpoint.instance, token, afterMs: Math.round(this.#lastMessageAt - this.#disconnectedAt) })
--- a/packages/fleet/src/dispatcher-election.ts
+++ b/packages/fleet/src/dispatcher-election.ts
@@ -148,6 +148,7 @@
       domain,
       members: directory.listInstances(domain),
       lostMs: unavailableMs,
+      isHolderUntried: connection.isHolderUntried,
       successorRank: successor < 0 ? undefined : successor,
       storeReachable: this.#isStoreReachable,
       formerHolder: connection.isHolderGone ? entry?.instance : undefined
--- a/packages/fleet/test/decisions.test.ts
+++ b/packages/fleet/test/decisions.test.ts
@@ -96,7 +96,7 @@
   const createEntry = (instance: string, power: number, startedMs = 0, domain = 'a'): InstanceEntry => ({ instance, incarnation: instance, domain, address: instance, power, startedMs })
   const strong = createEntry('strong', 1)
   const weak = createEntry('weak', 0.24)
-  const inputs = { self: weak, domain: 'a', members: [weak, strong], lostMs: 150, successorRank: undefined, storeReachable: true, formerHolder: undefined }
+  const inputs = { self: weak, domain: 'a', members: [weak, strong], lostMs: 150, isHolderUntried: false, successorRank: undefined, storeReachable: true, formerHolder: undefined }
 
   it('are ranked by power, then by the later start', () => {
     assert.deepEqual(rankInstances([weak, createEntry('older', 0.95, 1_000), createEntry('newer', 1, 9_000)]).map(entry => entry.instance), ['newer', 'older', 'weak'])
@@ -108,6 +108,10 @@
     assert.equal(decideCandidacy({ ...inputs, lostMs: 400 }), 'claim')
   })
 
+  it('wait until the first attempt to connect to the holder has ended', () => {
+    assert.equal(decideCandidacy({ ...inputs, self: strong, isHolderUntried: true }), 'wait')
+  })
+
   it('do not wait when an earlier process of their own instance was the holder', () => {
     assert.equal(decideCandidacy({ ...inputs, lostMs: 5, formerHolder: 'weak' }), 'claim')
     assert.equal(decideCandidacy({ ...inputs, lostMs: 5, formerHolder: 'strong' }), 'wait')
