Count the interval of a periodic timer from the time at which it was due

Cause: Node.js drops the fraction of a timer's delay, so a timer fires up to a millisecond before its time on the grid. The next time was computed from the early one and came out one grid step too soon: a timer of 50 ms fired twice in each interval, one of 100 ms in four of ten intervals. Start orders took 26 to 60 ms on that link on average. The measure of a dispatcher's delay also fell at each doubled tick.

Ruled out: the list of lingering jobs.

Change: the next call is counted from the time at which this one was due, or from the grid when that has passed.

--- a/packages/fleet/src/periodic-timer.ts
+++ b/packages/fleet/src/periodic-timer.ts
@@ -12,9 +12,11 @@
  */
 export function startPeriodicTimer (clock: Clock, intervalMs: number, task: () => void): () => void {
   let cancel = (): void => {}
+  let dueAt = -Infinity
   const schedule = (): void => {
-    const firesAt = Math.floor((clock.now() + intervalMs) / gridMs) * gridMs
-    cancel = clock.startTimer(Math.max(1, firesAt - clock.now()), () => {
+    // A timer may fire up to a millisecond early, so the next call is counted from the time at which this one was due.
+    dueAt = Math.max(dueAt + intervalMs, Math.floor((clock.now() + intervalMs) / gridMs) * gridMs)
+    cancel = clock.startTimer(Math.max(1, dueAt - clock.now()), () => {
       schedule()
       task()
     })
