Ask one peer for a newer configuration instead of receiving it from all

Cause: an owner sent its configuration in reply to each heartbeat of a dispatcher that had an older one, and a dispatcher sent its own to each owner that had an older one. A new configuration reaches all instances from the store within about 0.2 s, so nearly all copies were needless.

Ruled out: a fault of the platform.

Change: an instance that sees a newer version at a peer asks one peer at a time for it, and only when the store has not delivered it within 0.5 s. Nothing is sent unasked. An instance of an earlier version goes on sending unasked and answers no request; between the two versions the store remains the only way.

--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -281,6 +281,7 @@
         return
       case 'not-dispatching': this.#stream?.close('not dispatching'); return
       case 'configuration': this.#options.relay.applyIfNewer(message, `dispatcher of ${this.domain}`); return
+      case 'configuration-request': this.#sendConfiguration(); return
       case 'heartbeat':
         this.#updateLingering(message)
         this.#handleLoad(message)
@@ -327,11 +328,15 @@
   #handleLoad (message: HeartbeatMessage | Extract<DispatcherMessage, { type: 'pong' }>): void {
     this.#load = message.load
     this.#heardSentAt = message.sentAt
-    const { current } = this.#options.relay
-    if (current !== undefined && message.configurationVersion < current.version) this.send({ type: 'configuration', ...current })
+    this.#options.relay.notePeerVersion(message.configurationVersion, this.#options.clock.now(), () => { this.send({ type: 'configuration-request' }) })
     this.#options.observer.onLoadChanged(this)
   }
 
+  #sendConfiguration (): void {
+    const { current } = this.#options.relay
+    if (current !== undefined) this.send({ type: 'configuration', ...current })
+  }
+
   #handleClose (stream: PeerStream | undefined, reason: string): void {
     if (stream === undefined || stream !== this.#stream) return
     this.#stream = undefined
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -196,6 +196,7 @@
       case 'heartbeat-reply':
       case 'hello':
       case 'configuration':
+      case 'configuration-request':
     }
   }
 
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -44,7 +44,9 @@
   | { readonly type: 'cancel', readonly jobId: string, readonly reason: string, readonly submissionId?: number }
   /** Cancels a job, whichever instance owns it; the reply tells whether the dispatcher knew the job. */
   | { readonly type: 'cancel-any', readonly jobId: string }
+  /** Answers a request for the configuration. Earlier versions also send it unasked, and answer no request. */
   | { readonly type: 'configuration', readonly version: number, readonly text: string }
+  | { readonly type: 'configuration-request' }
 
 /** Periodic message of a dispatcher to all its owners, who answer it at once. */
 export interface HeartbeatMessage {
@@ -81,5 +83,6 @@
   | { readonly type: 'withdrawn', readonly jobId: string, readonly submissionId?: number }
   | { readonly type: 'cancelled-any', readonly jobId: string, readonly found: boolean }
   | { readonly type: 'configuration', readonly version: number, readonly text: string }
+  | { readonly type: 'configuration-request' }
   /** The dispatcher is stopping; the named successor should claim the domain at once. */
   | { readonly type: 'hand-over', readonly successor: string }
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -33,7 +33,6 @@
   lastMessageAt: number
   /** Whether a heartbeat was sent on the connection. */
   hasHeartbeat = false
-  lastSentConfigurationVersion = 0
 
   constructor (hello: HelloMessage, stream: PeerStream, now: number) {
     super()
@@ -191,9 +190,14 @@
       this.#relay.applyIfNewer(message, `instance ${connection.instance}`)
       return
     }
+    if (message.type === 'configuration-request') {
+      this.#sendConfiguration(connection)
+      return
+    }
     dispatcher.enqueueMessage(connection, message)
     if (message.type === 'ping') this.#sendPong(connection, dispatcher)
-    if (message.type === 'ping' || message.type === 'heartbeat-reply') this.#sendConfiguration(connection, message.configurationVersion)
+    if (message.type !== 'ping' && message.type !== 'heartbeat-reply') return
+    this.#relay.notePeerVersion(message.configurationVersion, this.#clock.now(), () => { connection.send({ type: 'configuration-request' }) })
   }
 
   #sendHeartbeats (): void {
@@ -217,12 +221,9 @@
     connection.send({ type: 'pong', sentAt: this.#clock.now(), load: dispatcher.summarizeLoad(), configurationVersion: this.#relay.version, lingering: dispatcher.listLingering() })
   }
 
-  /** Sends the configuration in force to an owner that has an older one, once for each version. */
-  #sendConfiguration (connection: StreamConnection, configurationVersion: number): void {
+  #sendConfiguration (connection: StreamConnection): void {
     const { current } = this.#relay
-    if (current === undefined || configurationVersion >= current.version || connection.lastSentConfigurationVersion === current.version) return
-    connection.lastSentConfigurationVersion = current.version
-    connection.send({ type: 'configuration', ...current })
+    if (current !== undefined) connection.send({ type: 'configuration', ...current })
   }
 
   #removeConnection (connection: StreamConnection): void {
--- a/packages/fleet/test/connection-fixture.ts
+++ b/packages/fleet/test/connection-fixture.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { flushMicrotasks, ManualClock } from '@sesamereel/coordination'
-import { ConfigurationRelay, type Directory, type DispatcherEntry, DispatcherConnection, DispatcherConnectionObserver, type InstanceEntry, LocalDispatcherRegistry, NoopLog, PeerConnector, type PeerHandler, type PeerOpenResult } from '../src/index.js'
+import { ConfigurationRelay, type Directory, type DispatcherEntry, DispatcherConnection, DispatcherConnectionObserver, type InstanceEntry, LocalDispatcherRegistry, NoopLog, type OwnerMessage, PeerConnector, type PeerHandler, type PeerOpenResult } from '../src/index.js'
 
 class NoLocalDispatchers extends LocalDispatcherRegistry {
   override hasDispatcher (): boolean { return false }
@@ -18,6 +18,7 @@
 class FakePeers extends PeerConnector {
   readonly tokens = new Map<string, number | 'refused'>()
   handler: PeerHandler | undefined
+  readonly sent: OwnerMessage[] = []
 
   override async open (address: string, timeoutMs: number, handler: PeerHandler): Promise<PeerOpenResult> {
     const token = this.tokens.get(address)
@@ -27,7 +28,10 @@
     return {
       kind: 'open',
       stream: {
-        send: message => { if ((message as { type: string }).type === 'hello') queueMicrotask(() => { handler.onMessage({ type: 'welcome', token }) }) },
+        send: message => {
+          this.sent.push(message as OwnerMessage)
+          if ((message as { type: string }).type === 'hello') queueMicrotask(() => { handler.onMessage({ type: 'welcome', token }) })
+        },
         close: () => {}
       }
     }
@@ -38,6 +42,7 @@
   readonly clock: ManualClock
   readonly peers: FakePeers
   readonly connection: DispatcherConnection
+  readonly relay: ConfigurationRelay
   /** Puts an instance into the domain's row and connects to it. */
   readonly follow: (instance: string, revision: number) => Promise<void>
 }
@@ -49,7 +54,8 @@
   const self: InstanceEntry = { instance: 'self', incarnation: 'self-1', domain: 'a', address: 'self', power: 1, startedMs: 0 }
   let entry: DispatcherEntry | undefined
   const directory = { findDispatcher: () => entry } as unknown as Directory
-  const connection = new DispatcherConnection({ domain: 'a', self, directory, connector: peers, local: new NoLocalDispatchers(), relay: new ConfigurationRelay(() => true), clock, log: new NoopLog(), observer: new SilentObserver() })
+  const relay = new ConfigurationRelay(() => true)
+  const connection = new DispatcherConnection({ domain: 'a', self, directory, connector: peers, local: new NoLocalDispatchers(), relay, clock, log: new NoopLog(), observer: new SilentObserver() })
   const follow = async (instance: string, revision: number): Promise<void> => {
     entry = { domain: 'a', instance, incarnation: `${instance}-1`, address: instance, successors: [], revision }
     peers.tokens.set(instance, revision * 16)
@@ -57,5 +63,5 @@
     await flushMicrotasks()
     assert.equal(connection.isConnected, true)
   }
-  return { clock, peers, connection, follow }
+  return { clock, peers, connection, relay, follow }
 }
