Poll a busy target once in the time that its view may age

Cause: the long poll of a target with runs waited up to 150 ms, but its view counted as stale after 90 ms, so that a second poll without a wait ran beside it in each gap of that length.

Change: the long poll waits for at most 90 ms while there are runs. Only a view that is older than the wait and the margin after which the poll loop itself sends a second poll counts as stale, as after the long poll of an idle target.

--- a/packages/fleet/src/poll-loop.ts
+++ b/packages/fleet/src/poll-loop.ts
@@ -1,7 +1,7 @@
 import { type Clock } from '@sesamereel/coordination'
 
 /** Time in milliseconds beyond the requested wait after which an answer is overdue; a round trip takes a few. */
-const overdueMarginMs = 60
+export const overdueMarginMs = 60
 
 /** Pause in milliseconds between polls of a target that does not answer, doubled after each failed poll up to the maximum. */
 const initialRetryMs = 50
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -1,8 +1,9 @@
 import { type DispatchState } from './dispatch-state.js'
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
+import { overdueMarginMs } from './poll-loop.js'
 import { type LossReason, type Run } from './run.js'
 import { SessionObserver, type TargetChange } from './session-observer.js'
-import { type TargetSession } from './target-session.js'
+import { maxBusyWaitMs, type TargetSession } from './target-session.js'
 import { type EndKind, type StartRejection } from './target-types.js'
 
 /** Minimum time in milliseconds without progress, over several polls, after which a run counts as stalled. */
@@ -14,8 +15,11 @@
  */
 const stallFraction = 0.3
 
-/** Age in milliseconds from which a view is stale, if the target has a run that was accepted at least as long ago. */
-const staleViewMs = 90
+/**
+ * Age in milliseconds from which a view is stale, if the target has a run that was accepted at least as long ago. Only
+ * a poll that began while the target was idle waits longer than this.
+ */
+const staleViewMs = maxBusyWaitMs + overdueMarginMs
 
 /** Ratio of projected to estimated run time above which a run marks its target as slow before the run ends. */
 const slowRatio = 2.5
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -28,8 +28,11 @@
 /** Fraction of the longest lease that a poll may wait, so that two polls fit into a lease. */
 const pollWaitFraction = 0.45
 
-/** Longest wait in milliseconds of a poll of a target with runs: about the time between two ends of runs there. */
-const maxBusyWaitMs = 150
+/**
+ * Longest wait in milliseconds of a poll of a target with runs: about the time between two ends of runs there, and short
+ * enough to see within two polls that a run has stalled.
+ */
+export const maxBusyWaitMs = 90
 
 /**
  * A dispatcher's session with one target: the runs there, their leases and the reserved capacity.
--- a/packages/fleet/test/dispatcher-fixture.ts
+++ b/packages/fleet/test/dispatcher-fixture.ts
@@ -13,6 +13,7 @@
   readonly starts: StartOrder[] = []
   readonly stops: StopOrder[] = []
   running: RunningEntry[] = []
+  pollCount = 0
   bornMs = 1
   isReachable = true
   answersStarts = true
@@ -48,6 +49,7 @@
   }
 
   override async poll (request: PollRequest, timeoutMs: number): Promise<PollReply> {
+    this.#target.pollCount++
     if (!this.#target.isReachable) return await this.#resolveAfter(timeoutMs, noAnswer)
     await this.#resolveAfter(Math.max(request.waitMs, roundTripMs), undefined)
     const { startedAt, bornMs } = this.#target
