Report the delay of the dispatcher's process with its predicted wait

Cause: the wait that a dispatcher reports to the owners was that of its queue and its targets alone. A dispatcher whose processor is saturated rejects jobs because of the delay of its process, which the owners did not know: they submitted a rejected job to one saturated dispatcher after the other, and chose a saturated home domain.

Ruled out: the rejections themselves.

Change: the reported wait includes the delay, also where a domain has free capacity and no queue.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -126,7 +126,7 @@
 
   /** @returns the load summary that is sent to the owners */
   summarizeLoad (): LoadSummary {
-    return summarizeLoad(this.sessions.values(), [...this.queue], this.now(), this.#efficiency.efficiency)
+    return summarizeLoad(this.sessions.values(), [...this.queue], this.now(), this.#efficiency.efficiency, this.processingDelay.delayPerJobMs)
   }
 
   /** Measures how well the targets are used; called at regular intervals. */
--- a/packages/fleet/src/domain-choice.ts
+++ b/packages/fleet/src/domain-choice.ts
@@ -37,7 +37,7 @@
   if (load === undefined) return unknownWaitMs + crossDomainMs
   if (load.usableProcessors === 0) return 60_000 + crossDomainMs
   const utilizationMs = fullUtilizationCostMs * (1 - Math.max(0, load.freeProcessors) / load.usableProcessors)
-  if (load.queuedJobs === 0 && load.largestFree >= demand.largestTask && load.freeProcessors >= demand.processors) return crossDomainMs + utilizationMs
+  if (load.queuedJobs === 0 && load.largestFree >= demand.largestTask && load.freeProcessors >= demand.processors) return load.waitMs + crossDomainMs + utilizationMs
   const excess = Math.max(0, demand.processors - load.freeProcessors) / load.usableProcessors
   return load.waitMs + partialCapacityWaitMs + excess * 100 + crossDomainMs + utilizationMs
 }
--- a/packages/fleet/src/load-estimates.ts
+++ b/packages/fleet/src/load-estimates.ts
@@ -53,8 +53,9 @@
  * Summarizes the load for the owners, which use it to choose a domain.
  *
  * @param efficiency - fraction of the nominal throughput that tasks get
+ * @param delayMs - time that the dispatcher's process adds to a job, in milliseconds
  */
-export function summarizeLoad (sessions: Iterable<TargetSession>, queue: readonly DispatchedJob[], now: number, efficiency: number): LoadSummary {
+export function summarizeLoad (sessions: Iterable<TargetSession>, queue: readonly DispatchedJob[], now: number, efficiency: number, delayMs: number): LoadSummary {
   const list = [...sessions]
   let free = 0
   let usable = 0
@@ -67,6 +68,6 @@
   }
   const throughput = estimateNominalThroughput(list, undefined) * efficiency
   const work = queue.reduce((sum, job) => sum + sumWaitingWork(job), 0)
-  const waitMs = work === 0 ? 0 : throughput > 0 ? work / throughput : 60_000
-  return { freeProcessors: free, usableProcessors: usable, waitMs: Math.round(waitMs), queuedJobs: queue.length, largestFree: largest }
+  const queueWaitMs = work === 0 ? 0 : throughput > 0 ? work / throughput : 60_000
+  return { freeProcessors: free, usableProcessors: usable, waitMs: Math.round(queueWaitMs + delayMs), queuedJobs: queue.length, largestFree: largest }
 }
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -24,7 +24,7 @@
   readonly freeProcessors: number
   /** Processors at usable targets, in thousandths of a core. */
   readonly usableProcessors: number
-  /** Predicted wait of a newly submitted job, in milliseconds. */
+  /** Predicted wait of a newly submitted job in milliseconds, with the delay that the dispatcher's process adds. */
   readonly waitMs: number
   readonly queuedJobs: number
   /** Processors of the largest task that a target could start now, in thousandths of a core. */
