--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -110,6 +110,8 @@
   #holder: Endpoint | undefined
   /** Whether the last attempt proved that the named holder no longer dispatches. */
   #isHolderGone = false
+  /** Incarnation of the last holder that was connected, or to which an attempt to connect has ended. */
+  #triedIncarnation: string | undefined
   /** Whether the previously connected dispatcher has provably ended. */
   #previousHasEnded = false
   /** Clock time by which all runs that earlier dispatchers started for this owner have ended. */
@@ -137,6 +139,12 @@
   /** Whether the holder that the directory names has proved not to dispatch any more. */
   get isHolderGone (): boolean { return this.#isHolderGone }
 
+  /** Whether the first attempt to connect to the holder that the directory names has not ended yet. */
+  get isHolderUntried (): boolean {
+    const entry = this.#options.directory.findDispatcher(this.domain)
+    return entry !== undefined && entry.incarnation !== this.#triedIncarnation
+  }
+
   /** @returns milliseconds without a connection; 0 while connected */
   measureLostMs (): number {
     return this.#connected ? 0 : this.#options.clock.now() - this.#disconnectedAt
@@ -241,7 +249,9 @@
     this.#triedRevision = entry.revision
     for (const endpoint of [entry, ...entry.successors]) {
       if (endpoint.incarnation === this.#options.self.incarnation) continue
-      const isGone = await this.#tryEndpoint(endpoint)
+      const isGone = await this.#tryEndpoint(endpoint).finally(() => {
+        if (endpoint.incarnation === entry.incarnation) this.#triedIncarnation = entry.incarnation
+      })
       if (endpoint.incarnation === entry.incarnation) this.#isHolderGone = isGone
       if (isGone && endpoint.incarnation === this.#holder?.incarnation) this.#previousHasEnded = true
       if (this.#connected || this.#closed) return
@@ -315,6 +325,7 @@
         return
       case 'not-dispatching': this.#stream?.close('not dispatching'); return
       case 'configuration': this.#options.relay.applyIfNewer(message, `dispatcher of ${this.domain}`); return
+      case 'configuration-request': this.#sendConfiguration(); return
       case 'heartbeat':
         this.#updateLingering(message)
         this.#handleLoad(message)
@@ -342,6 +353,7 @@
     this.#connected = true
     this.#observedMs = 0
     this.#isHolderGone = false
+    this.#triedIncarnation = endpoint.incarnation
     this.#token = token
     this.#holder = endpoint
     this.#options.log.log('belief', 'dispatcher-linked', { domain: this.domain, holder: endpoint.instance, token, afterMs: Math.round(this.#lastMessageAt - this.#disconnectedAt) })
@@ -371,11 +383,15 @@
     this.#load = message.load
     this.#listedAt = this.#options.clock.now()
     this.#heardSentAt = message.sentAt
-    const { current } = this.#options.relay
-    if (current !== undefined && message.configurationVersion < current.version) this.send({ type: 'configuration', ...current })
+    this.#options.relay.notePeerVersion(message.configurationVersion, this.#options.clock.now(), () => { this.send({ type: 'configuration-request' }) })
     this.#options.observer.onLoadChanged(this)
   }
 
+  #sendConfiguration (): void {
+    const { current } = this.#options.relay
+    if (current !== undefined) this.send({ type: 'configuration', ...current })
+  }
+
   #handleClose (stream: PeerStream | undefined, reason: string): void {
     if (stream === undefined || stream !== this.#stream) return
     this.#stream = undefined
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -201,6 +201,7 @@
       case 'heartbeat-reply':
       case 'hello':
       case 'configuration':
+      case 'configuration-request':
     }
   }
 
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -26,7 +26,7 @@
   readonly freeProcessors: number
   /** Processors at usable targets, in thousandths of a core. */
   readonly usableProcessors: number
-  /** Predicted wait of a newly submitted job, in milliseconds. */
+  /** Predicted wait of a newly submitted job in milliseconds, with the delay that the dispatcher's process adds. */
   readonly waitMs: number
   readonly queuedJobs: number
   /** Processors of the largest task that a target could start now, in thousandths of a core. */
@@ -49,7 +49,9 @@
   | { readonly type: 'cancel', readonly jobId: string, readonly reason: string, readonly submissionId?: number }
   /** Cancels a job, whichever instance owns it; the reply tells whether the dispatcher knew the job. */
   | { readonly type: 'cancel-any', readonly jobId: string }
+  /** Answers a request for the configuration. Earlier versions also send it unasked, and answer no request. */
   | { readonly type: 'configuration', readonly version: number, readonly text: string }
+  | { readonly type: 'configuration-request' }
 
 /** Periodic message of a dispatcher to all its owners, who answer it at once. */
 export interface HeartbeatMessage {
@@ -89,5 +91,6 @@
   | { readonly type: 'withdrawn', readonly jobId: string, readonly submissionId?: number }
   | { readonly type: 'cancelled-any', readonly jobId: string, readonly found: boolean }
   | { readonly type: 'configuration', readonly version: number, readonly text: string }
+  | { readonly type: 'configuration-request' }
   /** The dispatcher is stopping; the named successor should claim the domain at once. */
   | { readonly type: 'hand-over', readonly successor: string }
--- a/packages/fleet/test/dispatcher-fixture.ts
+++ b/packages/fleet/test/dispatcher-fixture.ts
@@ -15,11 +15,11 @@
   /** Latest end of a lease that an order or a poll has requested, on the target's clock. */
   leaseEndsAt = 0
   running: RunningEntry[] = []
+  pollCount = 0
   bornMs = 1
   isReachable = true
   answersStarts = true
   answersStops = true
-  pollCount = 0
   /** Clock of the test at which the target's clock was 0. */
   startedAt = 0
 
