Parse a row of the directory once for each revision

Operators would see, with many deeply nested rows in the directory: instances that are busy all the time, miss heartbeats and lose their connections. Cause: the directory parsed all rows at each change of one. Change: parsed rows are kept by their revision, as in the list of targets, and a row of more than 16 Ki characters is unreadable. Tests: two new cases of odd-directory-rows, failed before.

--- a/packages/fleet/src/directory.ts
+++ b/packages/fleet/src/directory.ts
@@ -13,6 +13,9 @@
 /** Interval in milliseconds at which the whole table is listed again. */
 const relistIntervalMs = 5_000
 
+/** Longest row in characters that is parsed; a dispatcher's row with its successors has about a thousand. */
+const maxRowLength = 16 * 1024
+
 /** An instance as it registers itself in the directory. */
 export interface InstanceEntry {
   readonly instance: string
@@ -55,7 +58,7 @@
  * @returns undefined for a row of another kind, a malformed one, and one that names another domain than its key
  */
 export function parseDispatcherRow (row: StoreRow): DispatcherEntry | undefined {
-  const value = parseObject(row.value)
+  const value = row.key.startsWith(formatDispatcherKey('')) ? parseObject(row.value) : undefined
   if (value === undefined) return undefined
   const { domain, instance, incarnation, address, successors } = value
   if (!isText(domain) || !isText(instance) || !isText(incarnation) || !isText(address) || row.key !== formatDispatcherKey(domain)) return undefined
@@ -64,7 +67,7 @@
 }
 
 function parseInstanceRow (row: StoreRow): InstanceEntry | undefined {
-  const entry = parseInstance(parseObject(row.value))
+  const entry = row.key.startsWith(formatInstanceKey('')) ? parseInstance(parseObject(row.value)) : undefined
   return entry !== undefined && row.key === formatInstanceKey(entry.instance) ? entry : undefined
 }
 
@@ -78,7 +81,7 @@
 }
 
 function parseObject (text: string | undefined): Readonly<Record<string, unknown>> | undefined {
-  if (text === undefined) return undefined
+  if (text === undefined || text.length > maxRowLength) return undefined
   try {
     const value: unknown = JSON.parse(text)
     return isObject(value) ? value : undefined
@@ -96,6 +99,13 @@
   return typeof value === 'string' && value !== ''
 }
 
+/** What a row names, with the revision of the row; nothing if it is unreadable. */
+interface ParsedRow {
+  readonly revision: number
+  readonly instance: InstanceEntry | undefined
+  readonly dispatcher: DispatcherEntry | undefined
+}
+
 /** Receives a notification after each change of the directory. */
 export abstract class DirectoryObserver {
   abstract onDirectoryChanged (): void
@@ -107,6 +117,8 @@
   readonly #log: EventLog
   readonly #observers: DirectoryObserver[] = []
   readonly #unreadable = new UnreadableRows()
+  /** Parsed rows by key: the observer of a table receives all rows at each change. */
+  readonly #parsed = new Map<string, ParsedRow>()
   #instances: ReadonlyMap<string, InstanceEntry> = new Map()
   #dispatchers: ReadonlyMap<string, DispatcherEntry> = new Map()
   #loaded = false
@@ -165,11 +177,10 @@
     const instances = new Map<string, InstanceEntry>()
     const dispatchers = new Map<string, DispatcherEntry>()
     this.#unreadable.expire(rows)
+    for (const key of this.#parsed.keys()) if (!rows.has(key)) this.#parsed.delete(key)
     for (const row of rows.values()) {
-      const instance = parseInstanceRow(row)
+      const { instance, dispatcher } = this.#parseOnce(row)
       if (instance !== undefined) instances.set(instance.instance, instance)
-      const dispatcher = parseDispatcherRow(row)
-      if (instance === undefined && dispatcher === undefined && this.#unreadable.record(row.key)) this.#log.log('belief', 'directory-row-unreadable', { key: row.key, revision: row.revision })
       if (dispatcher === undefined) continue
       const known = this.#dispatchers.get(dispatcher.domain)
       const newest = known !== undefined && known.revision > dispatcher.revision ? known : dispatcher
@@ -182,6 +193,16 @@
     this.#notify()
   }
 
+  #parseOnce (row: StoreRow): ParsedRow {
+    const known = this.#parsed.get(row.key)
+    if (known?.revision === row.revision) return known
+    const parsed = { revision: row.revision, instance: parseInstanceRow(row), dispatcher: parseDispatcherRow(row) }
+    this.#parsed.set(row.key, parsed)
+    const isUnreadable = parsed.instance === undefined && parsed.dispatcher === undefined
+    if (isUnreadable && this.#unreadable.record(row.key)) this.#log.log('belief', 'directory-row-unreadable', { key: row.key, revision: row.revision })
+    return parsed
+  }
+
   #notify (): void {
     for (const observer of this.#observers) observer.onDirectoryChanged()
   }
--- a/packages/fleet/test/odd-directory-rows.test.ts
+++ b/packages/fleet/test/odd-directory-rows.test.ts
@@ -72,6 +72,26 @@
     }
   })
 
+  it('is parsed only where it has changed', () => {
+    let readCount = 0
+    const odd = { key: 'instance/odd', revision: 1, get value () { readCount++; return '[' } }
+    const rows = new Map<string, StoreRow>([[odd.key, odd]])
+    const directory = new Directory(new NoStore(), new ManualClock(), log)
+    directory.onRows(rows, 1)
+    const readsOfOneParse = readCount
+    for (let revision = 2; revision < 50; revision++) {
+      rows.set('instance/a-1', { key: 'instance/a-1', value: JSON.stringify(instance), revision })
+      directory.onRows(rows, revision)
+    }
+    assert.deepEqual(directory.listInstances(), [instance])
+    assert.equal(readCount, readsOfOneParse)
+  })
+
+  it('leaves out a row that is far too long', () => {
+    const directory = readDirectory({ 'instance/a-1': { ...instance, later: 'x'.repeat(60_000) } })
+    assert.deepEqual(directory.listInstances(), [])
+  })
+
   it('logs an unreadable row once, however often it is written again', () => {
     log.events.length = 0
     const directory = readDirectory({ 'instance/a-1': '[' })
