Keep the list of targets when the decoder throws for one row

Operators would see: no change of any target, if the decoder of the platform threw for one row. Change: a row for which the decoder throws is unreadable. Test: odd-entries of the emulator, a fleet with odd rows in all tables that are written again each 500 ms: it serves jobs, replaces a lost dispatcher and uses a target that joins.

--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -167,11 +167,21 @@
   #decodeOnce (row: StoreRow): TargetInfo | undefined {
     const known = this.#decoded.get(row.key)
     if (known?.revision === row.revision) return known.target
-    const target = this.#decode(row)
+    const target = this.#tryDecode(row)
     this.#decoded.set(row.key, { revision: row.revision, target })
     return target
   }
 
+  /** @returns undefined also if the decoder throws, as one row must not keep the others from being read */
+  #tryDecode (row: StoreRow): TargetInfo | undefined {
+    try {
+      return this.#decode(row)
+    } catch {
+      // The caller logs rows that can't be decoded.
+      return undefined
+    }
+  }
+
   #recordVanished (targets: ReadonlyMap<string, TargetInfo>): void {
     const now = this.#clock.now()
     for (const [id, target] of this.#targets) {
