Close a stream between instances on what is no message

Operators would see: with an entry of another writer that names the address of an instance as that of a target, the dispatcher sends HTTP there, and each byte counts as a message; a null throws in the handler and is logged as an uncaught exception. Cause: the stream passes on any MessagePack value. Change: a value that is no object is malformed, and closes the stream. Test: two new cases of message-stream, failed before.

--- a/packages/transport/src/message-stream.ts
+++ b/packages/transport/src/message-stream.ts
@@ -91,6 +91,10 @@
     const bytes = this.#incomplete === undefined ? chunk : Buffer.concat([this.#incomplete, chunk])
     for (const message of this.#decode(bytes)) {
       if (this.#isClosed) return
+      if (typeof message !== 'object' || message === null) {
+        this.close('the peer sent a malformed message: not an object')
+        return
+      }
       this.#handler.onMessage(message)
     }
   }
