Poll a target that never answers less often

Operators would see, with many entries of another writer whose addresses are sound but name no live target: a dispatcher whose processor time goes into polls. Cause: a target without an answer is polled again after 0.4 s at most, each time over a new connection, for as long as its entry stands. Change: from 10 s after the first poll, a target that has never answered is polled every 2 s. One that has answered before is polled as often as before. Test: dead-entries-occupy-dispatcher, failed before (150 polls in a minute).

--- a/packages/fleet/src/poll-loop.ts
+++ b/packages/fleet/src/poll-loop.ts
@@ -7,6 +7,13 @@
 const initialRetryMs = 50
 const maxRetryMs = 400
 
+/**
+ * Pause in milliseconds between polls of a target that has not answered any within the given time: its entry may name no
+ * live target, and there may be thousands of such entries.
+ */
+const unknownTargetRetryMs = 2_000
+const unknownTargetAfterMs = 10_000
+
 /**
  * Polls one target continuously with long polls. When the answer to a poll is lost, no ended run is
  * seen until the next poll, and free capacity stays unused, so a second poll is sent when an answer
@@ -19,6 +26,7 @@
   readonly #onError: (error: unknown) => void
   /** Whether the last poll has thrown; a series of errors is reported once. */
   #hasThrown = false
+  #hasEverAnswered = false
   #retryMs = initialRetryMs
   #closed = false
   #cancelPause: (() => void) | undefined
@@ -37,13 +45,16 @@
 
   /** Polls until the loop is closed. */
   async run (): Promise<void> {
+    const startedAt = this.#clock.now()
     while (!this.#closed) {
       if (await this.#tryPoll()) {
+        this.#hasEverAnswered = true
         this.#retryMs = initialRetryMs
         continue
       }
       if (this.#closed) return
-      await this.#pause(this.#retryMs)
+      const isUnknown = !this.#hasEverAnswered && this.#clock.now() - startedAt >= unknownTargetAfterMs
+      await this.#pause(isUnknown ? unknownTargetRetryMs : this.#retryMs)
       this.#retryMs = Math.min(maxRetryMs, this.#retryMs * 2)
     }
   }
