Show which targets were lost under which tasks, and what proves it

An operator who sees targets crash one after the other could not tell from logs or metrics whether one task was at all of them, what else ran there, or whether the targets had crashed or were only cut off: run-lost names a reason (lapsed, restarted) and nothing else.

A dispatcher now records each loss of a target under a task by the target's incarnation, with the evidence (restarted, refused or silent) and whether other jobs had tasks there, logs it as target-lost-under-task with the count so far, and counts it in target_losses_total. When an incarnation of the target answers later, the records are judged anew: the lost one has not crashed, another one proves the crash (target-losses-settled). A refused connection is told apart from a missing answer for this.

--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -10,6 +10,7 @@
 import { ProcessingDelay } from './processing-delay.js'
 import { type FleetLimits } from './limits.js'
 import { type Run } from './run.js'
+import { TargetLosses } from './target-losses.js'
 import { type TargetSession } from './target-session.js'
 import { UnclaimedRuns } from './unclaimed-runs.js'
 
@@ -86,6 +87,8 @@
   readonly #secondRuns = new Map<string, readonly ActiveRun[]>()
   readonly owners = new OwnerRegistry()
   readonly unclaimedRuns: UnclaimedRuns
+  /** The targets that were lost under each task. */
+  readonly losses = new TargetLosses()
   readonly processingDelay = new ProcessingDelay(maintenanceIntervalMs)
   readonly #efficiency = new DispatchEfficiency()
   readonly #clock: Clock
@@ -316,10 +319,11 @@
     this.#unreportedDone = new Map()
   }
 
-  /** Removes outcomes and rejections that have been kept for the retention time. */
+  /** Removes outcomes, rejections and losses that have been kept for their retention time. */
   expireOutcomes (now: number): void {
     expireRecords(this.#outcomes, now)
     expireRecords(this.#rejections, now)
+    this.losses.expire(now)
   }
 
   #stopRuns (job: DispatchedJob): void {
--- a/packages/fleet/src/fleet-metrics.ts
+++ b/packages/fleet/src/fleet-metrics.ts
@@ -9,6 +9,13 @@
   abstract countSecondRun (): void
   /** Counts tasks that may start again because every run of an earlier dispatcher has ended; `evidence` says why that is known. */
   abstract countReleasedTasks (evidence: string, count: number): void
+  /**
+   * Counts the loss of a target under a task.
+   *
+   * @param evidence - what shows that the target was lost
+   * @param isAlone - whether only tasks of one job ran at the target
+   */
+  abstract countTargetLoss (evidence: string, isAlone: boolean): void
   /** Counts a target that reported a higher fencing token than the dispatcher's. */
   abstract countSuperseded (): void
   /**
@@ -29,6 +36,7 @@
   override countTakeover (): void {}
   override countSecondRun (): void {}
   override countReleasedTasks (): void {}
+  override countTargetLoss (): void {}
   override countSuperseded (): void {}
   override observeQueueWait (): void {}
   override countAnswer (): void {}
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -16,6 +16,7 @@
   readonly #superseded = this.#createCounter('superseded_total', 'Targets that reported a higher fencing token than the dispatcher\'s', [])
   readonly #secondRuns = this.#createCounter('second_runs_total', 'Runs that a target listed while another run of their task might exist', [])
   readonly #releasedTasks = this.#createCounter('released_tasks_total', 'Tasks that may start again after a takeover, by the evidence that their earlier runs have ended', ['evidence'])
+  readonly #targetLosses = this.#createCounter('target_losses_total', 'Losses of a target under a task, by the evidence and by whether other jobs had tasks there', ['evidence', 'alone'])
   readonly #waitSeconds = this.#createHistogram('wait_seconds', 'Time from acceptance to the first start, as predicted at admission and as measured', ['kind'])
   readonly #answerSeconds = this.#createHistogram('answer_seconds', 'Time from acceptance of a job to the answer to its caller', ['outcome'])
 
@@ -44,6 +45,10 @@
     this.#releasedTasks.inc({ evidence }, count)
   }
 
+  override countTargetLoss (evidence: string, isAlone: boolean): void {
+    this.#targetLosses.inc({ evidence, alone: String(isAlone) })
+  }
+
   override observeQueueWait (predictedMs: number, actualMs: number): void {
     this.#waitSeconds.observe({ kind: 'predicted' }, predictedMs / 1_000)
     this.#waitSeconds.observe({ kind: 'real' }, actualMs / 1_000)
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -1,8 +1,10 @@
 import { type DispatchState } from './dispatch-state.js'
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { type LossReason, type Run } from './run.js'
+import { LossTracker } from './loss-tracker.js'
 import { SessionObserver, type TargetChange } from './session-observer.js'
 import { type TargetSession } from './target-session.js'
+import { type LossEvidence } from './target-losses.js'
 import { type EndKind, type StartRejection } from './target-types.js'
 
 /** Minimum time in milliseconds without progress, over several polls, after which a run counts as stalled. */
@@ -39,6 +41,7 @@
   readonly #state: DispatchState
   readonly #events: TrackerEvents
   readonly #lateOrderMs: number
+  readonly #lossTracker: LossTracker
   /** Sessions whose leases are about to end or are not extended. */
   readonly #withheld = new WeakSet<TargetSession>()
 
@@ -48,6 +51,7 @@
     this.#state = state
     this.#lateOrderMs = lateOrderMs
     this.#events = events
+    this.#lossTracker = new LossTracker(state)
   }
 
   override onStartAccepted (session: TargetSession, run: Run, tookMs: number): void {
@@ -71,6 +75,10 @@
     this.#endTask(run.task, how, isLastRun)
   }
 
+  override onTargetLost (session: TargetSession, evidence: LossEvidence): void {
+    this.#lossTracker.recordLoss(session, evidence)
+  }
+
   override onRunLost (session: TargetSession, run: Run, reason: LossReason): void {
     this.#state.metrics.countRunEnd(reason)
     this.#state.log('order', 'run-lost', { task: run.task, attempt: run.attempt, target: session.info.id, reason, sentMsAgo: Math.round(this.#state.now() - run.sentAt) })
@@ -122,6 +130,7 @@
 
   override onTargetChanged (session: TargetSession, change: TargetChange): void {
     if (change !== 'polled') this.#state.log('belief', `target-${change}`, { target: session.info.id, domain: session.info.domain, runs: session.runs.size })
+    if (change !== 'polled') this.#lossTracker.settleLosses(session)
     this.#checkRuns(session)
     this.#events.onChange()
   }
--- a/packages/fleet/src/session-observer.ts
+++ b/packages/fleet/src/session-observer.ts
@@ -1,4 +1,5 @@
 import { type LossReason, type Run } from './run.js'
+import { type LossEvidence } from './target-losses.js'
 import { type TargetSession } from './target-session.js'
 import { type EndKind, type StartRejection } from './target-types.js'
 
@@ -20,6 +21,11 @@
   abstract onStartRejected (session: TargetSession, run: Run, reason: StartRejection | 'not-sent'): void
   /** The target listed the end of a run; the session has removed the run. */
   abstract onRunEnded (session: TargetSession, run: Run, how: EndKind): void
+  /**
+   * The current incarnation of the target counts as lost; its runs are given up after this call, as far as they
+   * can't start any more.
+   */
+  abstract onTargetLost (session: TargetSession, evidence: LossEvidence): void
   /** A run counts as gone although the target has not listed its end. */
   abstract onRunLost (session: TargetSession, run: Run, reason: LossReason): void
   /** The target is unreachable, and a new incarnation of it may still carry out the start order of this run. */
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -54,6 +54,10 @@
   #lastSeenEnd = 0
   #seen = false
   #silent = false
+  /** Whether the target's host has refused a connection since the last view. */
+  #refused = false
+  /** Whether the loss of the current incarnation was reported since the last view. */
+  #lossReported = false
   #closed = false
   readonly #unansweredOrders: UnansweredOrders
   /** Blocks start orders to earlier incarnations. */
@@ -92,6 +96,9 @@
    */
   get isSilent (): boolean { return this.#silent }
 
+  /** @returns Unix time in milliseconds at which the current incarnation of the target started; undefined while it is unknown */
+  get bornMs (): number | undefined { return this.#bornMs }
+
   /** @returns monotonic local time in milliseconds of the newest view of the target */
   get lastViewAt (): number { return this.#lastViewAt }
 
@@ -239,16 +246,21 @@
     }
     if (reply.kind === 'rejected' && reply.reason === 'other-incarnation') {
       // The orders were addressed to the other incarnation, so this one carries out none of them.
+      this.#observer.onTargetLost(this, 'restarted')
       this.#resetIncarnation()
       this.#loseAllRuns('restarted')
     }
     // A lost answer is irrelevant if the target has answered a poll since.
     if (this.#lastViewAt > sentAt) return true
+    if (reply.kind === 'not-sent' && reply.isRefused === true) this.#refused = true
     if (!this.#silent && this.#seen) {
       this.#silent = true
       this.#observer.onTargetChanged(this, 'silent')
     }
-    if (this.#targetClock.haveAllLeasesExpired(now)) this.#loseExpiredRuns(now)
+    if (this.#targetClock.haveAllLeasesExpired(now)) {
+      this.#reportLoss()
+      this.#loseExpiredRuns(now)
+    }
     return false
   }
 
@@ -256,6 +268,7 @@
     if (view.bornMs !== undefined && this.#bornMs !== undefined && view.bornMs !== this.#bornMs) {
       if (view.bornMs < this.#bornMs) return
       const { bornMs } = view
+      this.#observer.onTargetLost(this, 'restarted')
       this.#resetIncarnation()
       this.#bornMs = bornMs
       this.#endEarlierIncarnation()
@@ -267,6 +280,8 @@
     if (isFirstOfIncarnation) this.#blockUnansweredOrders(now)
     this.#targetClock.recordReply(view.clockMs, now)
     this.#lastViewAt = now
+    this.#refused = false
+    this.#lossReported = false
     this.#processEnds(view)
     this.#processRunning(view, now)
     this.#processMissing(view, sentAt, now)
@@ -367,6 +382,13 @@
     if (!this.#closed) this.#observer.onTargetChanged(this, 'polled')
   }
 
+  /** Reports an unresponsive target as lost, once until it answers again. */
+  #reportLoss (): void {
+    if (this.#lossReported) return
+    this.#lossReported = true
+    this.#observer.onTargetLost(this, this.#refused ? 'refused' : 'silent')
+  }
+
   /**
    * Gives up runs whose leases have expired, except those that a new incarnation may still start;
    * these are reported as unconfirmed.
--- a/packages/fleet/src/target-types.ts
+++ b/packages/fleet/src/target-types.ts
@@ -49,9 +49,12 @@
   readonly leaseUntil?: number
 }
 
-/** `not-sent`: the order was not sent; `no-answer`: it may have been carried out, or may be later. */
+/**
+ * `not-sent`: the order was not sent; `no-answer`: it may have been carried out, or may be later. `isRefused` is set when
+ * the target's host refused the connection.
+ */
 export type NoReply =
-  | { readonly kind: 'not-sent', readonly message: string }
+  | { readonly kind: 'not-sent', readonly message: string, readonly isRefused?: boolean }
   | { readonly kind: 'no-answer', readonly message: string }
 
 export type StartRejection = 'superseded' | 'old' | 'late' | 'room' | 'unhealthy' | 'other-incarnation' | 'invalid'
--- a/packages/fleet/test/late-poll-extends-later-lease.test.ts
+++ b/packages/fleet/test/late-poll-extends-later-lease.test.ts
@@ -11,6 +11,7 @@
   override onStartAccepted (): void {}
   override onStartRejected (): void {}
   override onRunEnded (): void {}
+  override onTargetLost (): void {}
   override onRunLost (session: TargetSession, run: Run, reason: LossReason): void { this.losses.push(reason) }
   override onStartUnconfirmed (): void {}
   override onRunDiscovered (): void {}
--- a/packages/fleet/test/target-session.test.ts
+++ b/packages/fleet/test/target-session.test.ts
@@ -33,6 +33,7 @@
   override onStartAccepted (): void {}
   override onStartRejected (): void { this.events.push('rejected') }
   override onRunEnded (session: TargetSession, run: Run, how: string): void { this.events.push(`ended ${how}`) }
+  override onTargetLost (): void {}
   override onRunLost (session: TargetSession, run: Run, reason: string): void { this.events.push(`lost ${reason}`) }
   override onStartUnconfirmed (): void { this.events.push('unconfirmed') }
   override onRunDiscovered (): void { this.events.push('found') }
--- a/packages/fleet/test/unblocked-order-of-earlier-incarnation.test.ts
+++ b/packages/fleet/test/unblocked-order-of-earlier-incarnation.test.ts
@@ -10,6 +10,7 @@
   override onStartAccepted (): void {}
   override onStartRejected (): void {}
   override onRunEnded (): void {}
+  override onTargetLost (): void {}
   override onRunLost (): void {}
   override onStartUnconfirmed (): void {}
   override onRunDiscovered (): void {}
