Give up a task that crashes each target that starts it

Callers and operators saw one task take down target after target: a run that is lost with its target went back to the queue like any other, so that only the caller's patience bounded its starts. The sixth start is one more than the rule allows: a task under which two targets have crashed may be given up, and it must not be started three times more after three have.

Cause: nothing counted the targets that were lost under a task, and nothing but its finished tasks travelled with a job.

Now the losses recorded under a task decide. Two proven crashes, one of them without a task of another job at the target, or three losses with two proven crashes, end the job as failed with the reason targets-lost. A crash is proven by a later incarnation of the target or by a refused connection. A target that was only silent until its leases had ended may be behind a network partition: that loss counts for the limit of three, from which the task starts no more, but never by itself makes the job fail, and it is forgotten when the same incarnation answers again. So a task is lost at most three times under one chain of records, three starts below the limit of the rule; a takeover can hide a crash that its predecessor had not noticed yet, one for each takeover.

The records name incarnations, so that they can be merged in any order. The dispatcher sends them to the owner (losses), which sends them with each submission; both fields are optional, and earlier versions ignore them. The dispatcher keeps them for 60 s after the last one and names the job in its list of lingering jobs, so that a repeat by the caller through any instance connected to it goes there. A dispatcher in another domain that the repeat reaches while the first one is out of reach starts at zero; no store is written.

The emulated target can be crashed by a task now, and its host then refuses connections; the history reports a task that is started too often. Its check of failed jobs learns the new reason: two targets must have crashed under one task. A run that ends with a crash of its target is recorded as crashed, not as lapsed.

--- a/packages/emulator/src/emulated-connector.ts
+++ b/packages/emulator/src/emulated-connector.ts
@@ -1,5 +1,5 @@
 import { type ManualClock } from '@sesamereel/coordination'
-import { type PollReply, type PollRequest, type StartOrder, type StartReply, type StopOrder, type StopReply, TargetConnection, TargetConnector, type TargetInfo } from '@sesamereel/fleet'
+import { type NoReply, type PollReply, type PollRequest, type StartOrder, type StartReply, type StopOrder, type StopReply, TargetConnection, TargetConnector, type TargetInfo } from '@sesamereel/fleet'
 import { type EmulatedNetwork } from './emulated-network.js'
 import { type EmulatedTarget } from './emulated-target.js'
 import { type RandomSource } from './random-source.js'
@@ -8,6 +8,9 @@
 const minLateDelayMs = 2_000
 const maxLateDelayMs = 12_000
 
+/** Time in milliseconds until a refusal of a connection arrives. */
+const refusalMs = 1
+
 const noAnswer = { kind: 'no-answer', message: 'no reply' } as const
 
 /** How often orders get no reply and reach their target only seconds later; can be changed at any time. */
@@ -45,14 +48,20 @@
    * @param serve - runs at the target and passes on its reply
    * @returns the reply, or `no-answer` when none came in time; the call may still be carried out later
    */
-  async call<T> (target: EmulatedTarget, timeoutMs: number, serve: (reply: (value: T) => void) => void): Promise<T | typeof noAnswer> {
+  async call<T> (target: EmulatedTarget, timeoutMs: number, serve: (reply: (value: T) => void) => void): Promise<T | NoReply> {
     if (this.#random.drawBoolean(this.#lateOrders.probability)) {
       this.#clock.startTimer(this.#random.pickInteger(minLateDelayMs, maxLateDelayMs), () => { if (target.isUp) serve(() => {}) })
       await new Promise<void>(resolve => { this.#network.getClock(this.#endpoint).startTimer(timeoutMs, resolve) })
       return noAnswer
     }
+    if (target.isRefusing && this.#network.isOpen(this.#endpoint, target.info.id)) return await this.#refuse()
     return await this.#network.call<T>(this.#endpoint, target.info.id, timeoutMs, reply => { if (target.isUp) serve(reply) }) ?? noAnswer
   }
+
+  async #refuse (): Promise<NoReply> {
+    await new Promise<void>(resolve => { this.#network.getClock(this.#endpoint).startTimer(refusalMs, resolve) })
+    return { kind: 'not-sent', message: 'connection refused', isRefused: true }
+  }
 }
 
 class EmulatedConnection extends TargetConnection {
--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -61,6 +61,8 @@
   readonly lateOrders: LateOrders = { probability: 0 }
   readonly targets = new Map<string, EmulatedTarget>()
   readonly instances = new Map<string, EmulatedInstance>()
+  /** Ids of the jobs whose tasks crash each target that starts them. */
+  readonly crashingJobs = new Set<string>()
   readonly #peers = new EmulatedPeerNetwork(this.network)
   readonly #options: EmulatedFleetOptions
   #jobCount = 0
@@ -145,7 +147,7 @@
    */
   submit (instance: string, tasks: number, workMs: number, jobId = this.#createJobId()): { readonly jobId: string, readonly answer: Promise<JobAnswer>, readonly abandon: () => void } {
     const parts = this.instances.get(instance)!
-    const spec = createJob(jobId, tasks, workMs)
+    const spec = createJob(jobId, tasks, workMs, this.crashingJobs.has(jobId))
     this.history.recordSubmission(jobId)
     let abandon = (): void => {}
     const answer = new Promise<JobAnswer>(resolve => {
@@ -244,12 +246,12 @@
   return row.value === undefined ? undefined : { ...JSON.parse(row.value) as TargetInfo, revision: row.revision }
 }
 
-function createJob (id: string, tasks: number, workMs: number): JobSpec {
+function createJob (id: string, tasks: number, workMs: number, crashesTarget: boolean): JobSpec {
   const processors = 14_000
   return {
     id,
     service: 'lab',
-    payload: JSON.stringify({ workMs, processors }),
+    payload: JSON.stringify({ workMs, processors, ...(crashesTarget ? { crashesTarget } : {}) }),
     steps: [{ count: tasks, demand: { processors, memoryMb: 1, accelerators: 0 }, estimateMs: workMs, after: [] }],
     priority: 0,
     maxAttempts: emulatedMaxAttempts,
--- a/packages/emulator/src/emulated-target.ts
+++ b/packages/emulator/src/emulated-target.ts
@@ -11,6 +11,12 @@
 /** Time in milliseconds from a stop order until the run ends. */
 const stopDurationMs = 20
 
+/** Work in milliseconds after which a task that crashes its target does so. */
+const workBeforeCrashMs = 10
+
+/** Time in milliseconds after which a target that a task has crashed starts again. */
+const crashRestartMs = 3_000
+
 /** `fails`: runs fail after 10 ms of work; `hangs`: runs make no progress; `rejects`: start orders are rejected as unhealthy. */
 export type TargetFault = 'none' | 'fails' | 'hangs' | 'rejects'
 
@@ -19,6 +25,7 @@
   readonly attempt: number
   readonly demand: TargetInfo['capacity']
   readonly workMs: number
+  readonly crashesTarget: boolean
   workedMs: number
   stopAt: number | undefined
 }
@@ -27,6 +34,8 @@
 export interface TaskPayload {
   readonly workMs: number
   readonly processors: number
+  /** Whether each start of the task crashes its target. */
+  readonly crashesTarget?: boolean
 }
 
 /** A target that enforces its capacity, measures leases on its own clock and rejects orders with a token below the highest seen. */
@@ -46,6 +55,7 @@
   #bornMs: number
   #startedAt: number
   #isUp = true
+  #isRefusing = false
   readonly #pendingPolls = new Set<() => void>()
 
   constructor (info: TargetInfo, clock: Clock, history: FleetHistory) {
@@ -59,12 +69,15 @@
 
   get isUp (): boolean { return this.#isUp }
 
+  /** @returns whether the host refuses connections, as after a crash of the target's process alone */
+  get isRefusing (): boolean { return this.#isRefusing }
+
   get runCount (): number { return this.#runs.size }
 
   /** Emulates a crash: all runs end, and no call is answered until `restart`. */
   crash (): void {
     this.#isUp = false
-    for (const run of this.#runs.values()) this.#history.recordEnd(this.info.id, run.task, run.attempt, 'lapsed')
+    for (const run of this.#runs.values()) this.#history.recordEnd(this.info.id, run.task, run.attempt, 'crashed')
     this.#runs.clear()
     this.#pendingPolls.clear()
   }
@@ -73,6 +86,7 @@
   restart (): void {
     if (this.#isUp) this.crash()
     this.#isUp = true
+    this.#isRefusing = false
     this.#startedAt = this.#clock.now()
     this.#bornMs = Math.round(this.#clock.now()) + 1_000_000
     this.#ended = []
@@ -98,7 +112,7 @@
     const work = JSON.parse(order.payload) as TaskPayload
     const demand = { processors: work.processors, memoryMb: 1, accelerators: 0 }
     if (!this.#fits(demand)) return { kind: 'rejected', reason: 'room' }
-    this.#runs.set(order.task, { task: order.task, attempt: order.attempt, demand, workMs: work.workMs, workedMs: 0, stopAt: undefined })
+    this.#runs.set(order.task, { task: order.task, attempt: order.attempt, demand, workMs: work.workMs, crashesTarget: work.crashesTarget === true, workedMs: 0, stopAt: undefined })
     this.#history.recordStart(this.info.id, order.task, order.attempt)
     return { kind: 'accepted' }
   }
@@ -175,6 +189,7 @@
   #scheduleCheck (): void {
     this.#clock.startTimer(checkIntervalMs, () => {
       if (this.#isUp) this.#advanceRuns()
+      if ([...this.#runs.values()].some(run => run.crashesTarget && run.workedMs >= workBeforeCrashMs)) this.#crashByTask()
       this.#scheduleCheck()
     })
   }
@@ -191,6 +206,13 @@
     }
   }
 
+  /** Emulates a crash of the process, whose host refuses connections until the process starts again. */
+  #crashByTask (): void {
+    this.crash()
+    this.#isRefusing = true
+    this.#clock.startTimer(crashRestartMs, () => { if (!this.#isUp) this.restart() })
+  }
+
   #endRun (run: TargetRun, how: EndKind): void {
     this.#runs.delete(run.task)
     this.#highestAttempt.set(run.task, Math.max(run.attempt, this.#highestAttempt.get(run.task) ?? 0))
--- a/packages/emulator/src/fleet-history.ts
+++ b/packages/emulator/src/fleet-history.ts
@@ -24,6 +24,13 @@
 /** Number of failed attempts of a task after which its job fails. */
 export const emulatedMaxAttempts = 3
 
+/** Number of crashes of targets under a task from which it may be given up. */
+const crashesToGiveUp = 2
+
+/** Number of crashes under a task, and of further starts after them, at which it was started too often. */
+const crashesBeforeExcess = 3
+const excessStarts = 3
+
 /** Records what callers and targets saw of a fleet, and checks the invariants that must hold for it. */
 export class FleetHistory {
   readonly runs: RunRecord[] = []
@@ -61,7 +68,7 @@
 
   /** @returns a line for each violation of an invariant */
   listViolations (): readonly string[] {
-    return [...this.#listOverlaps(), ...this.#listFalseRejections(), ...this.#listLateStarts(), ...this.#listUnfoundedCompletions(), ...this.#listFalseFailures()]
+    return [...this.#listOverlaps(), ...this.#listFalseRejections(), ...this.#listLateStarts(), ...this.#listUnfoundedCompletions(), ...this.#listFalseFailures(), ...this.#listExcessStarts()]
   }
 
   /** @returns the fraction of submitted jobs that were completed, 1 when none was submitted */
@@ -114,13 +121,31 @@
       .map(entry => `${entry.jobId} was answered as completed without a run that ended`)
   }
 
-  /** A job is answered as failed, other than by a cancellation, only if one of its tasks has used up its attempts. */
+  /**
+   * A job is answered as failed, other than by a cancellation, only if one of its tasks has used up its attempts, or two
+   * targets have crashed under one.
+   */
   #listFalseFailures (): readonly string[] {
-    const failures = new Map<string, number>()
-    for (const run of this.runs) if (run.how === 'failed') failures.set(run.task, (failures.get(run.task) ?? 0) + 1)
-    const exhausted = new Set([...failures].filter(([, count]) => count >= emulatedMaxAttempts).map(([task]) => parseTaskName(task)!.jobId))
+    const exhausted = new Set([...this.#listTasksEnded('failed', emulatedMaxAttempts), ...this.#listTasksEnded('crashed', crashesToGiveUp)].map(task => parseTaskName(task)!.jobId))
     return this.answers
       .filter(({ jobId, answer }) => answer.kind === 'failed' && answer.reason !== 'cancelled' && !exhausted.has(jobId))
-      .map(({ jobId }) => `${jobId} was answered as failed, and no task of it has failed ${emulatedMaxAttempts} times`)
+      .map(({ jobId }) => `${jobId} was answered as failed, and no task of it has failed ${emulatedMaxAttempts} times or crashed ${crashesToGiveUp} targets`)
+  }
+
+  /** A task must not start three times more after three targets have crashed under it. */
+  #listExcessStarts (): readonly string[] {
+    return this.#listTasksEnded('crashed', crashesBeforeExcess).flatMap(task => {
+      const runs = this.runs.filter(run => run.task === task)
+      const lastAllowedCrash = runs.filter(run => run.how === 'crashed')[crashesBeforeExcess - 1]!
+      const later = runs.filter(run => run.startedAt > lastAllowedCrash.endedAt!)
+      return later.length < excessStarts ? [] : [`${task} was started ${later.length} times more after ${crashesBeforeExcess} targets had crashed under it`]
+    })
+  }
+
+  /** @returns the tasks of which at least `count` runs have ended in a way */
+  #listTasksEnded (how: string, count: number): readonly string[] {
+    const counts = new Map<string, number>()
+    for (const run of this.runs) if (run.how === how) counts.set(run.task, (counts.get(run.task) ?? 0) + 1)
+    return [...counts].filter(([, ended]) => ended >= count).map(([task]) => task)
   }
 }
--- a/packages/emulator/test/fleet.test.ts
+++ b/packages/emulator/test/fleet.test.ts
@@ -186,9 +186,31 @@
       history.recordStart('t', 'spent.0.0.0', attempt)
       history.recordEnd('t', 'spent.0.0.0', attempt, 'failed')
     }
+    for (const [task, crashes] of [['crashed-once.0.0.0', 1], ['crashed-twice.0.0.0', 2]] as const) {
+      for (let attempt = 1; attempt <= crashes; attempt++) {
+        history.recordStart('t', task, attempt)
+        history.recordEnd('t', task, attempt, 'crashed')
+      }
+    }
+    history.recordAnswer('crashed-once', { kind: 'failed', reason: 'targets-lost' })
+    history.recordAnswer('crashed-twice', { kind: 'failed', reason: 'targets-lost' })
     history.recordAnswer('spent', { kind: 'failed', reason: 'attempts-used' })
     history.recordAnswer('given-up', { kind: 'failed', reason: 'too-late' })
     history.recordAnswer('left', { kind: 'failed', reason: 'cancelled' })
-    assert.deepEqual(history.listViolations(), ['given-up was answered as failed, and no task of it has failed 3 times'])
+    assert.deepEqual(history.listViolations(), ['crashed-once', 'given-up'].map(job => `${job} was answered as failed, and no task of it has failed 3 times or crashed 2 targets`))
+  })
+
+  it('reports a task that is started three times more after three targets have crashed under it', async () => {
+    const clock = new ManualClock()
+    const history = new FleetHistory(clock)
+    const crash = async (attempt: number): Promise<void> => {
+      history.recordStart('t', 'job.0.0.0', attempt)
+      history.recordEnd('t', 'job.0.0.0', attempt, 'crashed')
+      await clock.advance(1)
+    }
+    for (let attempt = 1; attempt <= 5; attempt++) await crash(attempt)
+    assert.deepEqual(history.listViolations(), [])
+    await crash(6)
+    assert.deepEqual(history.listViolations(), ['job.0.0.0 was started 3 times more after 3 targets had crashed under it'])
   })
 })
--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -62,7 +62,7 @@
 }
 
 /** A reply about one job; the submission is filled in by `DispatchState.reply`. */
-type JobReply = Extract<DispatcherMessage, { type: 'progress' | 'ended' | 'rejected' | 'withdrawn' }>
+type JobReply = Extract<DispatcherMessage, { type: 'progress' | 'losses' | 'ended' | 'rejected' | 'withdrawn' }>
 
 interface RecordedOutcome {
   readonly outcome: JobOutcome
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -155,12 +155,12 @@
 
   /**
    * @returns ids of jobs that a resubmission may meet here: old jobs, jobs whose owner is
-   *   disconnected, and jobs known only by their runs
+   *   disconnected, jobs known only by their runs, and jobs under whose tasks targets were lost
    */
   listLingering (): readonly string[] {
-    const { jobs, runs, owners } = this.#state
+    const { jobs, runs, owners, losses } = this.#state
     const acceptedBefore = this.#state.now() - this.#options.limits.resubmitMs + resubmitMarginMs
-    const ids = new Set<string>()
+    const ids = new Set<string>(losses.listJobs())
     for (const job of jobs.values()) {
       if (job.acceptedAt < acceptedBefore || !owners.isConnected(job.ownerId)) ids.add(job.id)
     }
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -3,6 +3,7 @@
 import { DispatchedJob } from './dispatched-job.js'
 import { type RejectionReason } from './job-types.js'
 import { estimateLoad, sumWaitingWork } from './load-estimates.js'
+import { LossTracker } from './loss-tracker.js'
 import { type Submission } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
 import { isEligible } from './placement.js'
@@ -23,10 +24,12 @@
 /** Admits, rejects, withdraws and cancels the jobs of one dispatcher. */
 export class JobIntake {
   readonly #state: DispatchState
+  readonly #lossTracker: LossTracker
   #closed = false
 
   constructor (state: DispatchState) {
     this.#state = state
+    this.#lossTracker = new LossTracker(state)
   }
 
   /** Rejects every new job from now on. */
@@ -46,6 +49,7 @@
     const known = state.jobs.get(submission.job.id)
     if (known !== undefined) {
       this.#attachOwner(connection, known, submission.submissionId)
+      this.#lossTracker.mergeLosses(known, submission.losses)
       return
     }
     const outcome = submission.resubmitted ? state.findOutcome(submission.job.id) : undefined
@@ -54,6 +58,7 @@
       return
     }
     const job = new DispatchedJob(submission, connection, state.now())
+    if (this.#lossTracker.mergeLosses(job, submission.losses)) return
     const hasKnownRuns = this.#adoptKnownRuns(job)
     if (this.#hasUnconfirmedStart(job)) {
       state.reply(job, { type: 'ended', jobId: job.id, outcome: { kind: 'unknown', reason: 'start-unconfirmed' } })
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -151,6 +151,7 @@
     switch (message.type) {
       case 'started': this.#handleStarted(connection, message.jobIds); break
       case 'progress': this.#handleProgress(connection, message); break
+      case 'losses': this.#handleLosses(connection, message); break
       case 'ended': this.#handleEnded(connection, message); break
       case 'rejected': this.#handleRejection(connection, message); break
       case 'withdrawn': this.#handleWithdrawn(connection, message); break
@@ -172,6 +173,11 @@
     for (const position of done) job?.done.add(position)
   }
 
+  #handleLosses (connection: DispatcherConnection, { jobId, submissionId, losses }: Reply<'losses'>): void {
+    const job = this.#findJobAt(jobId, connection, submissionId)
+    if (job !== undefined) job.losses = losses
+  }
+
   #handleEnded (connection: DispatcherConnection, { jobId, submissionId, outcome }: Reply<'ended'>): void {
     const job = this.#findJobAt(jobId, connection, submissionId)
     if (job === undefined) return
@@ -216,7 +222,7 @@
     const quietInMs = resubmitted ? Math.round(connection.measureQuietMs()) : 0
     this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(now - job.acceptedAt), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs })
     connection.reserveProcessors(job.demand.processors)
-    connection.send({ type: 'submit', submissionId, job: job.spec, ageMs: now - job.acceptedAt, resubmitted, quietInMs, done: [...job.done] })
+    connection.send({ type: 'submit', submissionId, job: job.spec, ageMs: now - job.acceptedAt, resubmitted, quietInMs, done: [...job.done], ...(job.losses === undefined ? {} : { losses: job.losses }) })
   }
 
   #handleRejection (connection: DispatcherConnection, { jobId, submissionId, reason, retryAfterMs }: Reply<'rejected'>): void {
--- a/packages/fleet/src/job-types.ts
+++ b/packages/fleet/src/job-types.ts
@@ -37,7 +37,7 @@
 /** Outcome of a job that a dispatcher has ended. */
 export type JobOutcome =
   | { readonly kind: 'completed' }
-  | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' }
+  | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' | 'targets-lost' }
   /** Tasks may have started, and the job is not continued. */
   | { readonly kind: 'unknown', readonly reason: 'start-unconfirmed' }
 
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,4 +1,5 @@
 import { type JobOutcome, type JobSpec, type RejectionReason } from './job-types.js'
+import { type TaskLosses } from './target-losses.js'
 
 /** A submission of a job to a dispatcher. */
 export interface Submission {
@@ -16,6 +17,8 @@
   readonly quietInMs: number
   /** Completed tasks, by their index over all steps. */
   readonly done: readonly number[]
+  /** Targets that earlier dispatchers have lost under the job's tasks; absent if there are none. Earlier versions ignore it. */
+  readonly losses?: TaskLosses
 }
 
 /** Load of a dispatcher, as reported to its owners. */
@@ -75,6 +78,8 @@
   | { readonly type: 'pong', readonly sentAt?: number, readonly load: LoadSummary, readonly lingering?: readonly string[], readonly configurationVersion: number }
   | { readonly type: 'started', readonly jobIds: readonly string[] }
   | { readonly type: 'progress', readonly jobId: string, readonly done: readonly number[], readonly submissionId?: number }
+  /** All targets that are known to have been lost under the job's tasks. Owners of earlier versions ignore it. */
+  | { readonly type: 'losses', readonly jobId: string, readonly losses: TaskLosses, readonly submissionId?: number }
   | { readonly type: 'ended', readonly jobId: string, readonly outcome: JobOutcome, readonly submissionId?: number }
   /** The dispatcher rejects the job and has started no task of it. */
   | { readonly type: 'rejected', readonly jobId: string, readonly reason: RejectionReason, readonly retryAfterMs: number, readonly submissionId?: number }
--- a/packages/fleet/src/owned-job.ts
+++ b/packages/fleet/src/owned-job.ts
@@ -1,5 +1,6 @@
 import { type JobDemand } from './domain-choice.js'
 import { type JobSpec, type RejectionReason } from './job-types.js'
+import { type TaskLosses } from './target-losses.js'
 
 /** Answer to the callers of a job. */
 export type JobAnswer =
@@ -36,6 +37,8 @@
   readonly demand: JobDemand
   /** Completed tasks, by their index over all steps. */
   readonly done = new Set<number>()
+  /** Targets that dispatchers have lost under the job's tasks. */
+  losses: TaskLosses | undefined
   /** Domains whose dispatcher has rejected the job. */
   readonly rejectedBy = new Set<string>()
   location: JobLocation = { kind: 'none' }
--- a/packages/fleet/src/target-losses.ts
+++ b/packages/fleet/src/target-losses.ts
@@ -23,6 +23,15 @@
 /** Time in milliseconds for which the losses of a job are kept after the last one; longer than callers repeat a job. */
 const lossRetentionMs = 60_000
 
+/** Number of targets that have to have crashed under a task before it may be given up. */
+const crashesToGiveUp = 2
+
+/**
+ * Number of losses from which a task starts no more. After three crashes under it, three more starts are too many;
+ * the crashes of one dispatcher's last second may be unknown to its successor.
+ */
+const maxLosses = 3
+
 interface JobLosses {
   readonly byTask: Map<string, readonly TargetLoss[]>
   updatedAt: number
@@ -38,13 +47,13 @@
 
   /** @returns the losses under a task, the earliest first */
   listLosses (task: string): readonly TargetLoss[] {
-    const jobId = parseTaskName(task)?.jobId
+    const jobId = this.#jobs.size === 0 ? undefined : parseTaskName(task)?.jobId
     return jobId === undefined ? [] : this.#jobs.get(jobId)?.byTask.get(task) ?? []
   }
 
   /** @returns whether a target was lost under the task, so that the task may be the cause */
   isSuspect (task: string): boolean {
-    return this.#jobs.size > 0 && this.listLosses(task).length > 0
+    return this.listLosses(task).length > 0
   }
 
   /** @returns names of the tasks under which targets were lost */
@@ -122,6 +131,20 @@
   }
 }
 
+/**
+ * Decides whether a task is to be given up. Two targets must have crashed under it. A task that shared each of them with
+ * other jobs gets one more start, at a target of its own, as another task may have crashed them.
+ */
+export function isProvenCause (losses: readonly TargetLoss[]): boolean {
+  const crashes = losses.filter(loss => loss.evidence !== 'silent').length
+  return crashes >= crashesToGiveUp && (losses.length >= maxLosses || losses.some(loss => loss.isAlone))
+}
+
+/** Decides whether a task may start again, or must wait until it is known whether the lost targets have crashed. */
+export function isStartAllowed (losses: readonly TargetLoss[]): boolean {
+  return losses.length < maxLosses
+}
+
 function rankEvidence (evidence: LossEvidence): number {
   return ['silent', 'refused', 'restarted'].indexOf(evidence)
 }
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -3,6 +3,7 @@
 import { type StepSpec } from './job-types.js'
 import { type Candidate, pickTarget } from './placement.js'
 import { sortQueue } from './queue-order.js'
+import { isStartAllowed } from './target-losses.js'
 import { startWindowMs, type TargetSession } from './target-session.js'
 import { type TargetInfo } from './target-types.js'
 
@@ -49,7 +50,7 @@
   #startTasksOf (job: DispatchedJob, candidates: readonly SessionCandidate[], fullFor: Set<string>, now: number): void {
     if (this.#state.computeRunLimit(job) < now + startWindowMs) return
     for (const task of job.tasks) {
-      if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex)) continue
+      if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex) || !isStartAllowed(this.#state.losses.listLosses(task.name))) continue
       const target = this.#pickTarget(job, task, candidates, fullFor, now)
       if (target !== undefined) this.#startTask(job, task, target.session, now)
     }
