Try a task that may crash its target alone, so that no other job is lost with it again

Callers of jobs that did nothing lost them to a task that crashes its targets, several times over: tasks that are lost together go back to the queue at the same moment, and placement fills the fullest target first, so they were placed together again. Since tasks are given up, such a task could even be given up for what the other one did.

A task under which a target was lost now starts only at a target that runs no other job's task, and none starts beside it. When no target is free, the one with the most free processors is kept for one such task at a time, as long as its job is of use. Nothing is filtered while no target was lost.

The three tests of crash-loses-the-same-bystander-twice.test.ts failed on the code before: the other task crashed three times and was never completed; a task of another job ran beside the suspect one; under load the other task did not complete within 5 s. Now it is lost once and then completed, in all three.

--- a/packages/fleet/src/target-losses.ts
+++ b/packages/fleet/src/target-losses.ts
@@ -45,6 +45,8 @@
   /** By job id, the least recently changed first. */
   readonly #jobs = new Map<string, JobLosses>()
 
+  get hasLosses (): boolean { return this.#jobs.size > 0 }
+
   /** @returns the losses under a task, the earliest first */
   listLosses (task: string): readonly TargetLoss[] {
     const jobId = this.#jobs.size === 0 ? undefined : parseTaskName(task)?.jobId
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -1,8 +1,9 @@
 import { type DispatchState } from './dispatch-state.js'
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { type StepSpec } from './job-types.js'
-import { type Candidate, pickTarget } from './placement.js'
+import { type Candidate, isEligible, pickTarget } from './placement.js'
 import { sortQueue } from './queue-order.js'
+import { SuspectIsolation } from './suspect-isolation.js'
 import { isStartAllowed } from './target-losses.js'
 import { startWindowMs, type TargetSession } from './target-session.js'
 import { type TargetInfo } from './target-types.js'
@@ -15,6 +16,7 @@
   readonly #state: DispatchState
   readonly #readToken: () => number
   readonly #remoteFactor: number
+  readonly #isolation: SuspectIsolation
 
   /**
    * @param readToken - returns the dispatcher's current token
@@ -24,6 +26,7 @@
     this.#state = state
     this.#readToken = readToken
     this.#remoteFactor = remoteFactor
+    this.#isolation = new SuspectIsolation(state)
   }
 
   /** Starts as many waiting tasks as fit, in the order of the queue, and tells the owners which jobs have started. */
@@ -35,6 +38,7 @@
     const largestFree = candidates.reduce((largest, { freeCapacity }) => Math.max(largest, freeCapacity.processors), 0)
     // In an overload most rounds have no free capacity, and sorting a long queue costs more than the rest.
     if (![...queue].some(job => job.smallestDemand <= largestFree)) return
+    this.#isolation.beginRound()
     const fullFor = new Set<string>()
     const newlyStarted = new Map<string, string[]>()
     for (const job of sortQueue([...queue], now)) {
@@ -53,6 +57,7 @@
       if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex) || !isStartAllowed(this.#state.losses.listLosses(task.name))) continue
       const target = this.#pickTarget(job, task, candidates, fullFor, now)
       if (target !== undefined) this.#startTask(job, task, target.session, now)
+      else if (this.#isolation.mustReserve(job, task, now)) this.#isolation.reserve(job, candidates.filter(({ info }) => isEligible(info, job.spec.service, job.getStep(task))).map(({ session }) => session))
     }
   }
 
@@ -66,7 +71,9 @@
     if (fullFor.has(key)) return undefined
     const countRunsOfStep = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.stepIndex)
     const runLimit = this.#state.computeRunLimit(job)
-    let usable = candidates
+    // Only a filter that drops a target makes a new list, see below.
+    const isAllowed = ({ session }: SessionCandidate): boolean => this.#isolation.canStart(session, job, task)
+    let usable = !this.#isolation.isNeeded || candidates.every(isAllowed) ? candidates : candidates.filter(isAllowed)
     for (;;) {
       const target = pickTarget(usable, job.spec.service, step, countRunsOfStep, this.#remoteFactor)
       if (target === undefined) {
@@ -89,6 +96,7 @@
     const attempt = this.#readToken() * attemptsPerToken + task.starts
     const run = session.startRun(task.name, attempt, job.spec.payload, job.getStep(task).demand, now)
     this.#state.runs.set(task.name, { session, run })
+    this.#isolation.recordStart(session, job, task)
     this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100 })
   }
 }
