Start no task by an old list of targets: a capacity may have shrunk since

A target that doesn't check its capacity can be brought over it after that has shrunk (LIMIT). An instance that neither dispatches nor is a named successor reads the list of targets each 10 s; when it becomes a dispatcher it reads the list at once, but started tasks by the old one until the reply was there, 50 ms in the test, more with hundreds of targets. The rule counts a shrunk capacity 4.5 s after it has shrunk, and the list may be older than that.

A dispatcher that begins with a list older than 3 s now waits for a newer one, for 300 ms at most, before it starts tasks; if the store is away, nothing newer can be read, and it goes on as before. Holders and named successors follow the list and don't wait.

The test 'gets no start by the list that a new dispatcher read long before it began' failed before: two tasks of 14,000 were started at a target of 16,000 thousandths of a core. Three more tests pass with and without the change and show that the rest holds: a shrunk capacity counts while orders are unanswered, while runs are being stopped, and for runs that a successor finds.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -23,6 +23,15 @@
  */
 const leaseExpiryMarginMs = 170
 
+/**
+ * Age in milliseconds of the list of targets beyond which a new dispatcher waits for a newer one before it starts tasks: a
+ * target whose capacity has shrunk since may not check it. Instances that do not follow the list read it each 10 s.
+ */
+const maxListAgeMs = 3_000
+
+/** Longest time in milliseconds of that wait; the store may be away. */
+const maxListWaitMs = 300
+
 export interface DispatcherOptions {
   readonly domain: string
   /** Fencing token: targets refuse orders with a lower token than the highest they have seen. */
@@ -202,7 +211,7 @@
   #onMessagesHandled (): void {
     if (this.#stopped) return
     this.#releaseUnlocatedJobs()
-    if (!this.#startsPaused) this.#scheduler.startTasks()
+    if (!this.#startsPaused && !this.#awaitsList()) this.#scheduler.startTasks()
     this.#state.reportProgress()
   }
 
@@ -253,6 +262,11 @@
     added.start()
   }
 
+  /** @returns whether this dispatcher is new and its list of targets too old to start tasks by */
+  #awaitsList (): boolean {
+    return this.#state.now() - this.#startedAt < maxListWaitMs && this.#options.measureListAgeMs() > maxListAgeMs
+  }
+
   /** Keeps the session with a target's former address until its runs have ended, as the process there may still live. */
   #retainFormerSession (session: TargetSession): void {
     session.updateInfo({ ...session.info, draining: true })
--- a/packages/fleet/test/dispatcher-fixture.ts
+++ b/packages/fleet/test/dispatcher-fixture.ts
@@ -94,7 +94,7 @@
 }
 
 /** A dispatcher with a complete list of targets, on a manual clock. */
-export function createDispatcher (clock: ManualClock, targets: readonly FakeTarget[]): Dispatcher {
+export function createDispatcher (clock: ManualClock, targets: readonly FakeTarget[], measureListAgeMs = (): number => 0): Dispatcher {
   return new Dispatcher({
     domain: 'a',
     token: 16,
@@ -105,7 +105,7 @@
     metrics: new NoopMetrics(),
     remoteFactor: 1,
     isListComplete: () => true,
-    measureListAgeMs: () => 0,
+    measureListAgeMs,
     onSuperseded: () => {}
   })
 }
