--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -174,7 +174,7 @@
 
   #createJobId (): string {
     this.#jobCount++
-    return this.#jobCount.toString(16).padStart(16, '0')
+    return formatEmulatedJobId(this.#jobCount)
   }
 
   #addTargets (domain: string): void {
@@ -242,6 +242,11 @@
   }
 }
 
+/** @returns the id of the job that a fleet creates as its `number`th, counted from 1 */
+export function formatEmulatedJobId (number: number): string {
+  return number.toString(16).padStart(16, '0')
+}
+
 function decodeTarget (row: StoreRow): TargetInfo | undefined {
   return row.value === undefined ? undefined : { ...JSON.parse(row.value) as TargetInfo, revision: row.revision }
 }
--- a/packages/emulator/test/random-fault-scenarios.test.ts
+++ b/packages/emulator/test/random-fault-scenarios.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { EmulatedFleet, RandomFaultScenario } from '../src/index.js'
+import { EmulatedFleet, formatEmulatedJobId, RandomFaultScenario } from '../src/index.js'
 
 /** Seeds that once led to a failure, with its cause, and one that never did. */
 const seeds = new Map([
@@ -23,3 +23,21 @@
     })
   }
 })
+
+/** Every so many jobs, one has tasks that crash their targets. */
+const crashingJobInterval = 25
+
+// Guards against tasks that crash their targets being started again and again when other faults come between.
+describe('random fault scenarios with tasks that crash their targets', () => {
+  for (const seed of [2, 4]) {
+    it(`violate no invariant with seed ${seed}`, { timeout: 120_000 }, async () => {
+      const fleet = new EmulatedFleet({ domains: ['a', 'b'], instancesPerDomain: 3, targetsPerDomain: 6, seed })
+      for (let number = crashingJobInterval; number < 1_000; number += crashingJobInterval) fleet.crashingJobs.add(formatEmulatedJobId(number))
+      await fleet.advance(3_500)
+      const result = await new RandomFaultScenario(fleet).run(15_000)
+      assert.deepEqual(result.violations, [])
+      assert.equal(result.reservedRuns, 0)
+      assert.equal(result.isRecovered, true)
+    })
+  }
+})
