Known failure: losses under a task are forgotten with its owner and its dispatcher

The losses of targets under a task are known to the dispatcher and to the job's owner. When both are lost before the caller sends its job again, the next ones begin at zero. The test loses both before each of three repeats, and the task is started three times more after three targets have crashed under it.

--- a/packages/emulator/test/task-crashes-each-target.test.ts
+++ b/packages/emulator/test/task-crashes-each-target.test.ts
@@ -95,4 +95,20 @@
     assert.ok(listStarts(fleet, jobId).length <= maxLosses, `${listStarts(fleet, jobId).length} starts`)
     assert.deepEqual(findLastAnswer(fleet, jobId), { kind: 'failed', reason: 'targets-lost' })
   })
+
+  it('is given up although its owner and its dispatcher are lost before each repeat', { todo: 'KNOWN-RED.txt, issue 26' }, async () => {
+    const fleet = await startFleet()
+    const jobId = 'c0ffee0000000001'
+    for (let sent = 0; sent < 4; sent++) {
+      const [owner] = listOwners(fleet, 'a')
+      const holder = fleet.findDispatchingInstance('a')!
+      submitCrashing(fleet, owner!, jobId)
+      await fleet.advance(1_400)
+      for (const instance of [owner!, holder]) fleet.killInstance(instance)
+      await fleet.advance(1_300)
+      for (const instance of [owner!, holder]) fleet.startInstance(instance, 'a')
+      await fleet.advance(2_500)
+    }
+    assert.deepEqual(fleet.history.listViolations(), [])
+  })
 })
