--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -64,6 +64,8 @@
   readonly targets = new Map<string, EmulatedTarget>()
   readonly instances = new Map<string, EmulatedInstance>()
   readonly peers = new EmulatedPeerNetwork(this.network)
+  /** Ids of the jobs whose tasks crash each target that starts them. */
+  readonly crashingJobs = new Set<string>()
   readonly #options: EmulatedFleetOptions
   #jobCount = 0
 
@@ -152,7 +154,7 @@
    */
   submit (instance: string, tasks: number, workMs: number, jobId = this.#createJobId()): { readonly jobId: string, readonly answer: Promise<JobAnswer>, readonly abandon: () => void } {
     const parts = this.instances.get(instance)!
-    const spec = createJob(jobId, tasks, workMs)
+    const spec = createJob(jobId, tasks, workMs, this.crashingJobs.has(jobId))
     this.history.recordSubmission(jobId)
     let abandon = (): void => {}
     const answer = new Promise<JobAnswer>(resolve => {
@@ -179,7 +181,7 @@
 
   #createJobId (): string {
     this.#jobCount++
-    return this.#jobCount.toString(16).padStart(16, '0')
+    return formatEmulatedJobId(this.#jobCount)
   }
 
   #addTargets (domain: string): void {
@@ -247,16 +249,21 @@
   }
 }
 
+/** @returns the id of the job that a fleet creates as its `number`th, counted from 1 */
+export function formatEmulatedJobId (number: number): string {
+  return number.toString(16).padStart(16, '0')
+}
+
 function decodeTarget (row: StoreRow): TargetInfo | undefined {
   return row.value === undefined ? undefined : { ...JSON.parse(row.value) as TargetInfo, revision: row.revision }
 }
 
-function createJob (id: string, tasks: number, workMs: number): JobSpec {
+function createJob (id: string, tasks: number, workMs: number, crashesTarget: boolean): JobSpec {
   const processors = 14_000
   return {
     id,
     service: 'lab',
-    payload: JSON.stringify({ workMs, processors }),
+    payload: JSON.stringify({ workMs, processors, ...(crashesTarget ? { crashesTarget } : {}) }),
     steps: [{ count: tasks, demand: { processors, memoryMb: 1, accelerators: 0 }, estimateMs: workMs, after: [] }],
     priority: 0,
     maxAttempts: emulatedMaxAttempts,
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -23,6 +23,15 @@
  */
 const leaseExpiryMarginMs = 170
 
+/**
+ * Age in milliseconds of the list of targets beyond which a new dispatcher waits for a newer one before it starts tasks: a
+ * target whose capacity has shrunk since may not check it. Instances that do not follow the list read it each 10 s.
+ */
+const maxListAgeMs = 3_000
+
+/** Longest time in milliseconds of that wait; the store may be away. */
+const maxListWaitMs = 300
+
 export interface DispatcherOptions {
   readonly domain: string
   /** Fencing token: targets refuse orders with a lower token than the highest they have seen. */
@@ -159,12 +168,12 @@
 
   /**
    * @returns ids of jobs that a resubmission may meet here: old jobs, jobs whose owner is
-   *   disconnected, and jobs known only by their runs
+   *   disconnected, jobs known only by their runs, and jobs under whose tasks targets were lost
    */
   listLingering (): readonly string[] {
-    const { jobs, runs, owners } = this.#state
+    const { jobs, runs, owners, losses } = this.#state
     const acceptedBefore = this.#state.readElapsed() - this.#options.limits.resubmitMs + resubmitMarginMs
-    const ids = new Set<string>()
+    const ids = new Set<string>(losses.listJobs())
     for (const job of jobs.values()) {
       if (job.acceptedElapsed < acceptedBefore || !owners.isConnected(job.ownerId)) ids.add(job.id)
     }
@@ -208,7 +217,7 @@
   #onMessagesHandled (): void {
     if (this.#stopped) return
     this.#releaseUnlocatedJobs()
-    if (!this.#startsPaused) this.#scheduler.startTasks()
+    if (!this.#startsPaused && !this.#awaitsList()) this.#scheduler.startTasks()
     this.#state.reportProgress()
   }
 
@@ -259,6 +268,11 @@
     added.start()
   }
 
+  /** @returns whether this dispatcher is new and its list of targets too old to start tasks by */
+  #awaitsList (): boolean {
+    return this.#state.now() - this.#startedAt < maxListWaitMs && this.#options.measureListAgeMs() > maxListAgeMs
+  }
+
   /** Keeps the session with a target's former address until its runs have ended, as the process there may still live. */
   #retainFormerSession (session: TargetSession): void {
     session.updateInfo({ ...session.info, draining: true })
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -59,6 +59,10 @@
   #lastSeenEnd = 0
   #seen = false
   #silent = false
+  /** Whether the target's host has refused a connection since the last view. */
+  #refused = false
+  /** Whether the loss of the current incarnation was reported since the last view. */
+  #lossReported = false
   #closed = false
   readonly #unansweredOrders: UnansweredOrders
   /** Blocks start orders to earlier incarnations. */
@@ -97,6 +101,9 @@
    */
   get isSilent (): boolean { return this.#silent }
 
+  /** @returns Unix time in milliseconds at which the current incarnation of the target started; undefined while it is unknown */
+  get bornMs (): number | undefined { return this.#bornMs }
+
   /** @returns monotonic local time in milliseconds of the newest view of the target */
   get lastViewAt (): number { return this.#lastViewAt }
 
@@ -244,16 +251,21 @@
     }
     if (reply.kind === 'rejected' && reply.reason === 'other-incarnation') {
       // The orders were addressed to the other incarnation, so this one carries out none of them.
+      this.#observer.onTargetLost(this, 'restarted')
       this.#resetIncarnation()
       this.#loseAllRuns('restarted')
     }
     // A lost answer is irrelevant if the target has answered a poll since.
     if (this.#lastViewAt > sentAt) return true
+    if (reply.kind === 'not-sent' && reply.isRefused === true) this.#refused = true
     if (!this.#silent && this.#seen) {
       this.#silent = true
       this.#observer.onTargetChanged(this, 'silent')
     }
-    if (this.#targetClock.haveAllLeasesExpired(now)) this.#loseExpiredRuns(now)
+    if (this.#targetClock.haveAllLeasesExpired(now)) {
+      this.#reportLoss()
+      this.#loseExpiredRuns(now)
+    }
     return false
   }
 
@@ -262,6 +274,7 @@
       // An earlier birth in the answer to a later poll means that the target's clock was set back before it restarted.
       if (view.bornMs < this.#bornMs && sentAt <= this.#bornSeenAt) return
       const { bornMs } = view
+      this.#observer.onTargetLost(this, 'restarted')
       this.#resetIncarnation()
       this.#bornMs = bornMs
       this.#bornSeenAt = now
@@ -277,6 +290,8 @@
     // An earlier dispatcher, whom a new incarnation doesn't refuse yet, may have extended the leases just before.
     if (!this.#seen) this.#targetClock.recordLeaseEnd(view.clockMs + this.#limits.maxLeaseMs)
     this.#lastViewAt = now
+    this.#refused = false
+    this.#lossReported = false
     this.#processEnds(view)
     this.#processRunning(view, now)
     this.#processMissing(view, sentAt, now)
@@ -377,6 +392,13 @@
     if (!this.#closed) this.#observer.onTargetChanged(this, 'polled')
   }
 
+  /** Reports an unresponsive target as lost, once until it answers again. */
+  #reportLoss (): void {
+    if (this.#lossReported) return
+    this.#lossReported = true
+    this.#observer.onTargetLost(this, this.#refused ? 'refused' : 'silent')
+  }
+
   /**
    * Gives up runs whose leases have expired, except those that a new incarnation may still start;
    * these are reported as unconfirmed.
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -1,8 +1,10 @@
 import { type DispatchState } from './dispatch-state.js'
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { type StepSpec } from './job-types.js'
-import { type Candidate, pickTarget } from './placement.js'
+import { type Candidate, isEligible, pickTarget } from './placement.js'
 import { sortQueue } from './queue-order.js'
+import { SuspectIsolation } from './suspect-isolation.js'
+import { isStartAllowed } from './target-losses.js'
 import { startWindowMs, type TargetSession } from './target-session.js'
 import { type TargetInfo } from './target-types.js'
 
@@ -15,6 +17,9 @@
   readonly now: number
   /** Milliseconds by which the clock that counts suspensions is ahead. */
   readonly elapsedLeadMs: number
+  /** Targets that may start tasks, with or without room. */
+  readonly usable: readonly TargetSession[]
+  /** Those with room for a task. */
   readonly candidates: readonly SessionCandidate[]
   /** Keys of demands that fit no target any more. */
   readonly fullFor: Set<string>
@@ -25,6 +30,7 @@
   readonly #state: DispatchState
   readonly #readToken: () => number
   readonly #remoteFactor: number
+  readonly #isolation: SuspectIsolation
 
   /**
    * @param readToken - returns the dispatcher's current token
@@ -34,6 +40,7 @@
     this.#state = state
     this.#readToken = readToken
     this.#remoteFactor = remoteFactor
+    this.#isolation = new SuspectIsolation(state)
   }
 
   /** Starts as many waiting tasks as fit, in the order of the queue, and tells the owners which jobs have started. */
@@ -48,7 +55,8 @@
     if (fitting.length === 0) return
     const smallestDemand = fitting.reduce((smallest, job) => Math.min(smallest, job.smallestDemand), Infinity)
     const hasRoom = ({ freeCapacity }: TargetSession | SessionCandidate): boolean => freeCapacity.processors >= smallestDemand
-    let round: Round = { now, elapsedLeadMs: this.#state.measureElapsedLead(), candidates: usable.filter(hasRoom).map(session => new SessionCandidate(session)), fullFor: new Set() }
+    this.#isolation.beginRound()
+    let round: Round = { now, elapsedLeadMs: this.#state.measureElapsedLead(), usable, candidates: usable.filter(hasRoom).map(session => new SessionCandidate(session)), fullFor: new Set() }
     const newlyStarted = new Map<string, string[]>()
     for (const job of sortQueue(fitting, now)) {
       if (round.candidates.length === 0) break
@@ -66,15 +74,24 @@
     if (this.#state.computeRunLimit(job, round.elapsedLeadMs) < round.now + startWindowMs) return 0
     let count = 0
     for (const task of job.tasks) {
-      if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex)) continue
+      if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex) || !isStartAllowed(this.#state.losses.listLosses(task.name))) continue
       const target = this.#pickTarget(job, task, round)
-      if (target === undefined) continue
+      if (target === undefined) {
+        this.#reserveTarget(job, task, round)
+        continue
+      }
       this.#startTask(job, task, target.session, round.now)
       count++
     }
     return count
   }
 
+  /** Keeps a target free for a suspect task that found none, while its job is still of use. */
+  #reserveTarget (job: DispatchedJob, task: TaskRecord, { now, usable }: Round): void {
+    if (!this.#isolation.mustReserve(job, task, now)) return
+    this.#isolation.reserve(job, usable.filter(({ info }) => isEligible(info, job.spec.service, job.getStep(task))))
+  }
+
   /**
    * A start order also extends the leases of the target's other runs, so the target must not have one whose
    * owner may be lost. A lease belongs to the target, so the task may last until the latest one that was granted there.
@@ -85,7 +102,9 @@
     if (fullFor.has(key)) return undefined
     const countRunsOfStep = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.stepIndex)
     const runLimit = this.#state.computeRunLimit(job, elapsedLeadMs)
-    let usable = candidates
+    // Only a filter that drops a target makes a new list, see below.
+    const isAllowed = ({ session }: SessionCandidate): boolean => this.#isolation.canStart(session, job, task)
+    let usable = !this.#isolation.isNeeded || candidates.every(isAllowed) ? candidates : candidates.filter(isAllowed)
     for (;;) {
       const target = pickTarget(usable, job.spec.service, step, countRunsOfStep, this.#remoteFactor)
       if (target === undefined) {
@@ -108,6 +127,7 @@
     const attempt = this.#readToken() * attemptsPerToken + task.starts
     const run = session.startRun(task.name, attempt, job.spec.payload, job.getStep(task).demand, now)
     this.#state.runs.set(task.name, { session, run })
+    this.#isolation.recordStart(session, job, task)
     this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100 })
   }
 }
