Keep no long value of an odd row in memory

Callers would see: instances that end by themselves, again after each restart, for as long as the rows stand. Cause: a list keeps the text of each row. The store takes rows of 64 KiB, and the heap of a process is limited to 96 MB. Test: large-odd-rows-fill-heap, failed before (47 MB of text held for 2,000 rows, 667 of them of 64 KiB; at most 16 MiB expected).

--- a/packages/fleet/src/directory.ts
+++ b/packages/fleet/src/directory.ts
@@ -14,7 +14,7 @@
 const relistIntervalMs = 5_000
 
 /** Longest row in characters that is parsed; a dispatcher's row with its successors has about a thousand. */
-const maxRowLength = 16 * 1024
+const maxRowLength = 4 * 1024
 
 /** An instance as it registers itself in the directory. */
 export interface InstanceEntry {
--- a/packages/fleet/src/metadata-store.ts
+++ b/packages/fleet/src/metadata-store.ts
@@ -1,7 +1,7 @@
 /** A row of the platform's metadata store. */
 export interface StoreRow {
   readonly key: string
-  /** Text of the row; undefined if it is not text. */
+  /** Text of the row; undefined if it is not text, or longer than any entry of its table. */
   readonly value: string | undefined
   /** Store revision of the last transaction that changed the row. */
   readonly revision: number
