--- a/packages/emulator/test/two-owners-of-one-job.test.ts
+++ b/packages/emulator/test/two-owners-of-one-job.test.ts
@@ -55,4 +55,24 @@
     await fleet.advance(4_000)
     assert.deepEqual(fleet.history.listViolations(), [])
   })
+
+  // Guards against a job that the second owner has given up, and that the first one submits again beside a later repeat.
+  it('runs once when the second owner has given it up, it was repeated elsewhere, and the first one reconnects', { todo: 'KNOWN-RED.txt, issue 26' }, async () => {
+    const fleet = await startFleet(3)
+    const holder = fleet.findDispatchingInstance('a')!
+    const [first, second] = fleet.listInstances('a').filter(instance => instance !== holder)
+    fleet.network.partition(['b-0'], fleet.listInstances('a'))
+    const { jobId } = fleet.submit(first!, 1, 6_000)
+    await fleet.advance(resubmitMs)
+    const repeat = fleet.submit(second!, 1, 6_000, jobId)
+    await fleet.advance(200)
+    repeat.abandon()
+    await fleet.advance(resubmitMs)
+    fleet.submit('b-0', 1, 6_000, jobId)
+    await fleet.advance(200)
+    assert.deepEqual(fleet.history.runs.map(run => [run.target, run.how]), [['target-a-0', 'stopped'], ['target-b-0', undefined]])
+    fleet.resetStreams(first!)
+    await fleet.advance(4_000)
+    assert.deepEqual(fleet.history.listViolations(), [])
+  })
 })
