Emulator: reset connections of callers, and a record of repeats that meet a run

What the leases promise is stronger: 1.3 s after a caller lost its answer its runs have ended, whichever instance receives the repeat. Callers are now also reset with their instance noticing it, in half of the cases while its streams to the dispatchers are silent, so that the cancellation is lost.

--- a/packages/emulator/src/emulated-caller.ts
+++ b/packages/emulator/src/emulated-caller.ts
@@ -52,18 +52,19 @@
       return wasOpen
     }
     const breakConnection = (): void => { if (finish()) this.#scheduleResend() }
-    // An instance that is only paused notices at its return that the caller has left.
-    const losePatience = (): void => {
+    // An instance that is paused notices at its return that the caller has left.
+    const leave = (): void => {
       submission.abandon()
       breakConnection()
     }
-    const startPatience = (): void => { cancelPatience ??= this.#fleet.clock.startTimer(this.#patienceMs, losePatience) }
+    const startPatience = (): void => { cancelPatience ??= this.#fleet.clock.startTimer(this.#patienceMs, leave) }
     const removeObserver = process.addObserver({
       onPaused: startPatience,
       onResumed: () => {
         cancelPatience?.()
         cancelPatience = undefined
       },
+      onCallersReset: leave,
       onCallersLost: breakConnection,
       onEnded: areConnectionsClosed => {
         if (areConnectionsClosed) breakConnection()
@@ -85,13 +86,18 @@
   #scheduleResend (): void {
     if (this.#resendCount === this.#maxResends) return
     this.#resendCount++
-    this.#fleet.clock.startTimer(resendDelayMs, () => { this.#resend() })
+    const lostAt = this.#fleet.clock.now()
+    this.#fleet.clock.startTimer(resendDelayMs, () => { this.#resend(lostAt) })
   }
 
   /** Sends the job again, as soon as there is an instance that takes connections. */
-  #resend (): void {
+  #resend (lostAt: number): void {
     const instance = this.#fleet.random.pick([...this.#fleet.instances.keys()])
-    if (instance === undefined) this.#fleet.clock.startTimer(resendDelayMs, () => { this.#resend() })
-    else this.send(instance)
+    if (instance === undefined) {
+      this.#fleet.clock.startTimer(resendDelayMs, () => { this.#resend(lostAt) })
+      return
+    }
+    this.#fleet.history.recordRepeat(this.#jobId!, lostAt)
+    this.send(instance)
   }
 }
--- a/packages/emulator/src/emulated-process.ts
+++ b/packages/emulator/src/emulated-process.ts
@@ -5,6 +5,8 @@
 export interface ProcessObserver {
   readonly onPaused: () => void
   readonly onResumed: () => void
+  /** The connections to the callers are reset; the process notices it when it handles its next messages. */
+  readonly onCallersReset: () => void
   /** The connections to the callers are dead, and the process does not notice it. */
   readonly onCallersLost: () => void
   /** @param areConnectionsClosed - false when the connections only fall silent, as after a power loss */
@@ -119,6 +121,11 @@
     this.#maxStallMs = maxStallMs
   }
 
+  /** Resets the connections to the callers. */
+  resetCallers (): void {
+    for (const observer of [...this.#observers]) observer.onCallersReset()
+  }
+
   /** Breaks the connections to the callers without notice to the process, as a reset does that a partition has swallowed. */
   loseCallers (): void {
     for (const observer of [...this.#observers]) observer.onCallersLost()
--- a/packages/emulator/src/fleet-history.ts
+++ b/packages/emulator/src/fleet-history.ts
@@ -18,6 +18,15 @@
   readonly answeredAt: number
 }
 
+/** A repeat of a job that was sent while a run of the job still lived. */
+export interface MetRun {
+  readonly jobId: string
+  readonly target: string
+  readonly repeatedAt: number
+  /** Time in milliseconds since the caller had lost its answer. */
+  readonly lostMsAgo: number
+}
+
 /** Time in milliseconds from the announcement that a target leaves until it must get no more starts. */
 const drainGraceMs = 2_000
 
@@ -28,6 +37,8 @@
 export class FleetHistory {
   readonly runs: RunRecord[] = []
   readonly answers: AnswerRecord[] = []
+  /** No violations by themselves: one follows only if the instance that receives the repeat does not know of the run. */
+  readonly metRuns: MetRun[] = []
   readonly #clock: Clock
   readonly #submitted = new Map<string, number>()
   readonly #drainingSince = new Map<string, number>()
@@ -55,6 +66,14 @@
     this.answers.push({ jobId, answer, answeredAt: this.#clock.now() })
   }
 
+  /** Records a repeat of a job that its caller sends now. */
+  recordRepeat (jobId: string, lostAt: number): void {
+    const now = this.#clock.now()
+    for (const run of this.runs) {
+      if (run.endedAt === undefined && parseTaskName(run.task)!.jobId === jobId) this.metRuns.push({ jobId, target: run.target, repeatedAt: now, lostMsAgo: now - lostAt })
+    }
+  }
+
   recordDraining (target: string): void {
     this.#drainingSince.set(target, this.#clock.now())
   }
--- a/packages/emulator/src/instance-faults.ts
+++ b/packages/emulator/src/instance-faults.ts
@@ -7,7 +7,7 @@
 export const instanceFaultNames = ['kill', 'power-loss', 'outage', 'outage-domain', 'stop', 'pause', 'slow-instance', 'takeover-series'] as const
 
 /** Further faults of the instances, kept apart so that the days of earlier seeds stay as they are. */
-export const furtherInstanceFaultNames = ['rolling-restart', 'slow-fleet', 'suspend'] as const
+export const furtherInstanceFaultNames = ['rolling-restart', 'slow-fleet', 'suspend', 'reset-callers'] as const
 
 /** Breaks the connections of callers without notice to their instance; no product can then tell that the caller has left. */
 export const unnoticedFaultNames = ['lose-callers'] as const
@@ -26,6 +26,9 @@
 const minSuspensionMs = 200
 const maxSuspensionMs = 1_200
 
+/** Longest time in milliseconds from the start of a fault until the connections of callers are reset. */
+const maxResetDelayMs = 500
+
 /** Causes faults of randomly picked instances. */
 export class InstanceFaults {
   readonly #fleet: EmulatedFleet
@@ -50,6 +53,7 @@
       case 'pause': return this.#fleet.instances.get(instance)!.process.pause()
       case 'slow-instance': return this.#slowInstance(instance)
       case 'suspend': return this.#suspendInstance(instance)
+      case 'reset-callers': return this.#resetCallers(instance)
       case 'lose-callers': this.#fleet.instances.get(instance)!.process.loseCallers(); return undefined
     }
   }
@@ -97,6 +101,14 @@
     this.#fleet.clock.startTimer(this.#fleet.random.pickInteger(minSuspensionMs, maxSuspensionMs), end)
   }
 
+  /** Resets the connections of an instance's callers, in half of the cases shortly after those to the other instances have fallen silent. */
+  #resetCallers (instance: string): undefined {
+    const { clock, instances, random } = this.#fleet
+    const { process } = instances.get(instance)!
+    if (random.drawBoolean(0.5)) this.#fleet.silenceStreams(instance)
+    clock.startTimer(random.pickInteger(0, maxResetDelayMs), () => { process.resetCallers() })
+  }
+
   #slowFleet (): () => void {
     const ends = [...this.#fleet.instances.keys()].map(instance => this.#slowInstance(instance))
     return () => { for (const end of ends) end() }
--- a/packages/emulator/src/random-fault-scenario.ts
+++ b/packages/emulator/src/random-fault-scenario.ts
@@ -6,18 +6,18 @@
 import { furtherInstanceFaultNames, InstanceFaults, instanceFaultNames, unnoticedFaultNames } from './instance-faults.js'
 import { furtherNetworkFaultNames, NetworkFaults, networkFaultNames } from './network-faults.js'
 
-/** Interval in milliseconds at which jobs are submitted. */
-const submitIntervalMs = 40
-
 /** The jobs of a scenario. */
 export interface ScenarioLoad {
+  /** Interval in milliseconds at which jobs are submitted. */
+  readonly submitIntervalMs: number
   /** Probability that a job consists of one long task, from 0 to 1. */
   readonly longJobProbability: number
   /** How often a caller sends its job again. */
   readonly maxResends: number
 }
 
-const defaultLoad: ScenarioLoad = { longJobProbability: 0.1, maxResends: 2 }
+/** Load of a scenario that is given none. */
+export const defaultLoad: ScenarioLoad = { submitIntervalMs: 40, longJobProbability: 0.1, maxResends: 2 }
 
 /** Time in milliseconds after the end of all faults in which the fleet must recover and all jobs must end. */
 const recoveryPeriodMs = 12_000
@@ -79,7 +79,7 @@
     while (fleet.clock.now() < until) {
       this.#schedule.update(fleet.clock.now())
       this.#submitJob()
-      await fleet.advance(submitIntervalMs)
+      await fleet.advance(this.#load.submitIntervalMs)
     }
     this.#schedule.endExpiredFaults(Infinity)
     await fleet.advance(recoveryPeriodMs + recoveryPerResendMs * Math.max(0, this.#load.maxResends - defaultLoad.maxResends))
--- a/packages/emulator/test/emulated-caller.test.ts
+++ b/packages/emulator/test/emulated-caller.test.ts
@@ -57,9 +57,24 @@
     // The instance also answers over the dead connection.
     assert.deepEqual(fleet.history.answers.map(entry => entry.answer.kind), ['completed', 'completed'])
     assert.equal(fleet.history.runs.length, 1)
+    assert.deepEqual(fleet.history.metRuns.map(met => met.lostMsAgo), [1_300])
     assert.deepEqual(fleet.history.listViolations(), [])
   })
 
+  it('sends its job again 1,300 ms after its connection was reset, and the repeat meets no run', async () => {
+    const fleet = await startFleet()
+    const caller = new EmulatedCaller(fleet, { tasks: 1, workMs: 2_000 })
+    caller.send('a-0')
+    await fleet.advance(100)
+    fleet.instances.get('a-0')!.process.resetCallers()
+    await fleet.advance(10)
+    assert.equal(fleet.instances.get('a-0')!.owner.jobCount, 0)
+    await fleet.advance(4_000)
+    assert.equal(caller.resendCount, 1)
+    assert.deepEqual(fleet.history.runs.map(run => run.how), ['stopped', 'done'])
+    assert.deepEqual(fleet.history.metRuns, [])
+  })
+
   it('sends its job again twice at most', async () => {
     const fleet = await startFleet()
     const caller = new EmulatedCaller(fleet, { tasks: 1, workMs: 5_000 })
--- a/packages/emulator/test/further-faults.test.ts
+++ b/packages/emulator/test/further-faults.test.ts
@@ -30,7 +30,7 @@
     const fleet = new EmulatedFleet({ domains: ['a', 'b'], instancesPerDomain: 3, targetsPerDomain: 6, seed: 30_001 })
     await fleet.advance(3_500)
     const names = allFaultNames.filter(name => !unnoticedFaultNames.some(unnoticed => unnoticed === name))
-    const result = await new RandomFaultScenario(fleet, names, { longJobProbability: 0.35, maxResends: 5 }).run(20_000)
+    const result = await new RandomFaultScenario(fleet, names, { submitIntervalMs: 40, longJobProbability: 0.35, maxResends: 5 }).run(20_000)
     assert.deepEqual(result.violations, [])
     assert.equal(result.reservedRuns, 0)
     assert.equal(result.isRecovered, true)
