Start no task of a job that its owner has given up

Cause: jobs that an owner has not submitted again are dropped by a check each 50 ms, and rounds of starts come in between. Change: a round starts no task of such a job.

--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -72,6 +72,7 @@
   /** @returns the number of tasks that were started */
   #startTasksOf (job: DispatchedJob, round: Round): number {
     if (this.#state.computeRunLimit(job, round.elapsedLeadMs) < round.now + startWindowMs) return 0
+    if (this.#state.owners.hasGivenUp(job.connection)) return 0
     let count = 0
     for (const task of job.tasks) {
       if (task.state !== 'waiting' || !job.isStepReady(task.stepIndex) || !isStartAllowed(this.#state.losses.listLosses(task.name))) continue
