--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -9,6 +9,7 @@
 import { OwnerRegistry } from './owner-registry.js'
 import { ProcessingDelay } from './processing-delay.js'
 import { type FleetLimits } from './limits.js'
+import { RecentRecords } from './recent-records.js'
 import { type Run } from './run.js'
 import { TargetLosses } from './target-losses.js'
 import { type TargetSession } from './target-session.js'
@@ -57,23 +58,13 @@
   readonly retryAfterMs: number
 }
 
-interface RecordedRejection extends Rejection {
-  readonly recordedAt: number
-}
-
 /** A reply about one job; the submission is filled in by `DispatchState.reply`. */
 type JobReply = Extract<DispatcherMessage, { type: 'progress' | 'losses' | 'ended' | 'rejected' | 'withdrawn' }>
 
-interface RecordedOutcome {
-  readonly outcome: JobOutcome
-  readonly recordedAt: number
-}
-
 /** The owner to which a caller sent a job last, and the latest time at which that owner can have accepted it. */
-interface RecordedRepeat {
+interface Repeat {
   readonly ownerId: string
   readonly acceptedAt: number
-  readonly recordedAt: number
 }
 
 /**
@@ -102,11 +93,11 @@
   readonly #limits: FleetLimits
   readonly #log: EventLog
   readonly #metrics: FleetMetrics
-  readonly #outcomes = new Map<string, RecordedOutcome>()
+  readonly #outcomes = new RecentRecords<JobOutcome>(outcomeRetentionMs)
   /** Rejections by owner and job. */
-  readonly #rejections = new Map<string, RecordedRejection>()
+  readonly #rejections = new RecentRecords<Rejection>(outcomeRetentionMs)
   /** Jobs that were sent again through another instance, by job id. */
-  readonly #repeats = new Map<string, RecordedRepeat>()
+  readonly #repeats = new RecentRecords<Repeat>(outcomeRetentionMs)
   #unreportedDone = new Map<string, number[]>()
 
   constructor (clock: Clock, limits: FleetLimits, log: EventLog, metrics: FleetMetrics) {
@@ -166,7 +157,7 @@
   }
 
   findOutcome (jobId: string): JobOutcome | undefined {
-    return this.#outcomes.get(jobId)?.outcome
+    return this.#outcomes.find(jobId)
   }
 
   removeJob (job: DispatchedJob): void {
@@ -227,27 +218,23 @@
 
   /** Rejects a job of which no task has started here, and records the rejection for an owner that has submitted the job again meanwhile. */
   rejectJob (job: DispatchedJob, reason: RejectionReason, retryAfterMs: number): void {
-    const key = formatOwnedKey(job)
-    // Inserted anew, as the oldest records are looked for at the front.
-    this.#rejections.delete(key)
-    this.#rejections.set(key, { reason, retryAfterMs, recordedAt: this.now() })
+    this.#rejections.record(formatOwnedKey(job), { reason, retryAfterMs }, this.now())
     this.reply(job, { type: 'rejected', jobId: job.id, reason, retryAfterMs })
   }
 
   /** Forgets the rejection of an earlier submission of a job that is admitted now. */
   forgetRejection (job: DispatchedJob): void {
-    this.#rejections.delete(formatOwnedKey(job))
+    this.#rejections.forget(formatOwnedKey(job))
   }
 
   /** @returns the rejection of an earlier submission of the job by the same owner, if there was one lately */
   findRejection (job: DispatchedJob): Rejection | undefined {
-    return this.#rejections.get(formatOwnedKey(job))
+    return this.#rejections.find(formatOwnedKey(job))
   }
 
   /** Records that the owner of a job has it by a repeat of the caller, who had sent it through another instance before. */
   recordRepeat ({ id, ownerId, ownerAcceptedAt }: DispatchedJob): void {
-    this.#repeats.delete(id)
-    this.#repeats.set(id, { ownerId, acceptedAt: ownerAcceptedAt, recordedAt: this.now() })
+    this.#repeats.record(id, { ownerId, acceptedAt: ownerAcceptedAt }, this.now())
   }
 
   /**
@@ -255,7 +242,7 @@
    * @returns whether the caller may have sent the job again through another instance since this owner accepted it
    */
   wasRepeatedElsewhere (jobId: string, ownerId: string, acceptedAt: number): boolean {
-    const repeat = this.#repeats.get(jobId)
+    const repeat = this.#repeats.find(jobId)
     return repeat !== undefined && repeat.ownerId !== ownerId && acceptedAt < repeat.acceptedAt
   }
 
@@ -272,7 +259,7 @@
     const now = this.now()
     this.removeJob(job)
     this.#stopRuns(job)
-    this.#outcomes.set(job.id, { outcome, recordedAt: now })
+    this.#outcomes.record(job.id, outcome, now)
     this.reply(job, { type: 'ended', jobId: job.id, outcome })
     this.log('job', 'job-ended', { job: job.id, outcome: outcome.kind, ageMs: Math.round(now - job.acceptedAt), objectiveMs: Math.round(job.spec.objectiveMs) })
   }
@@ -366,9 +353,9 @@
 
   /** Removes outcomes, rejections, repeats and losses that have been kept for their retention time. */
   expireOutcomes (now: number): void {
-    expireRecords(this.#outcomes, now)
-    expireRecords(this.#rejections, now)
-    expireRecords(this.#repeats, now)
+    this.#outcomes.expire(now)
+    this.#rejections.expire(now)
+    this.#repeats.expire(now)
     this.losses.expire(now)
   }
 
@@ -380,11 +367,3 @@
 function formatOwnedKey (job: DispatchedJob): string {
   return `${job.ownerId} ${job.id}`
 }
-
-/** Removes the entries that have been kept for the retention time; the oldest come first. */
-function expireRecords (records: Map<string, { readonly recordedAt: number }>, now: number): void {
-  for (const [key, entry] of records) {
-    if (now - entry.recordedAt < outcomeRetentionMs) break
-    records.delete(key)
-  }
-}
