Move an owner's copy of the list of lingering jobs out of its connection

No decision changes; a pong without a list no longer counts as having brought one in the logged age.

--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -2,6 +2,7 @@
 import { type ConfigurationRelay } from './configuration-relay.js'
 import { type Directory, type InstanceEntry, tokensPerRevision } from './directory.js'
 import { type EventLog } from './event-log.js'
+import { LingeringList } from './lingering-list.js'
 import { type DispatcherMessage, type HeartbeatMessage, type LoadSummary, type OwnerMessage } from './messages.js'
 import { startPeriodicTimer } from './periodic-timer.js'
 import { type PeerConnector, type PeerStream } from './peer-streams.js'
@@ -94,17 +95,13 @@
   #streamCount = 0
   #token = 0
   #load: LoadSummary | undefined
-  #lingering = new Set<string>()
-  /** The list of the dispatcher before, whose runs may go on without being known to the present one. */
-  #earlierLingering: ReadonlySet<string> = new Set()
+  readonly #lingering = new LingeringList()
   #disconnectedAt: number
   #lastMessageAt = 0
   #pingedAt = -Infinity
   #checkedAt: number
   /** Time in milliseconds without a message, or without a connection, in which this process ran. */
   #observedMs = 0
-  /** Time at which the list of lingering jobs was last known to be current; undefined on a connection that has not received it. */
-  #listedAt: number | undefined
   /** Newest `sentAt` that was received on the current stream. */
   #heardSentAt: number | undefined
   #holder: Endpoint | undefined
@@ -167,12 +164,12 @@
 
   /** @returns milliseconds since the list of lingering jobs was last received; undefined if it was not on this connection */
   measureListAgeMs (): number | undefined {
-    return this.#listedAt === undefined ? undefined : this.#options.clock.now() - this.#listedAt
+    return this.#lingering.measureAgeMs(this.#options.clock.now())
   }
 
   /** @returns whether the dispatcher, or the one before it, reported that it may still hold the job or runs of it */
   isLingering (jobId: string): boolean {
-    return this.#lingering.has(jobId) || (this.#earlierLingering.has(jobId) && this.measureQuietMs() > 0)
+    return this.#lingering.has(jobId) || (this.#lingering.wasListedEarlier(jobId) && this.measureQuietMs() > 0)
   }
 
   start (): void {
@@ -327,12 +324,12 @@
       case 'configuration': this.#options.relay.applyIfNewer(message, `dispatcher of ${this.domain}`); return
       case 'configuration-request': this.#sendConfiguration(); return
       case 'heartbeat':
-        this.#updateLingering(message)
+        this.#lingering.update(message, this.#options.clock.now())
         this.#handleLoad(message)
         this.#replyToHeartbeat(message.sentAt)
         return
       case 'pong':
-        if (message.lingering !== undefined) this.#lingering = new Set(message.lingering)
+        if (message.lingering !== undefined) this.#lingering.replace(message.lingering, this.#options.clock.now())
         this.#handleLoad(message)
         return
       default: this.#options.observer.onDispatcherMessage(this, message)
@@ -349,7 +346,7 @@
     // The runs of an even earlier dispatcher may last longer than those of the last one.
     if (isNew) this.#earlierRunsEndAt = Math.max(this.#earlierRunsEndAt, this.#disconnectedAt + (this.#previousHasEnded ? endedDispatcherRunExpiryMs : lostDispatcherRunExpiryMs))
     this.#previousHasEnded = false
-    this.#acceptList(lingering, isNew)
+    this.#lingering.begin(lingering, isNew, this.#options.clock.now())
     this.#connected = true
     this.#observedMs = 0
     this.#isHolderGone = false
@@ -365,23 +362,8 @@
     this.send({ type: 'heartbeat-reply', configurationVersion: this.#options.relay.version, heardSentAt })
   }
 
-  /** Accepts the list that comes with a welcome. A dispatcher of an earlier version sends it with its first heartbeat. */
-  #acceptList (lingering: readonly string[] | undefined, isNewDispatcher: boolean): void {
-    this.#listedAt = lingering === undefined ? undefined : this.#options.clock.now()
-    if (lingering === undefined) return
-    if (isNewDispatcher) this.#earlierLingering = this.#lingering
-    this.#lingering = new Set(lingering)
-  }
-
-  #updateLingering ({ lingering, lingeringAdded = [], lingeringRemoved = [] }: HeartbeatMessage): void {
-    if (lingering !== undefined) this.#lingering = new Set(lingering)
-    for (const id of lingeringRemoved) this.#lingering.delete(id)
-    for (const id of lingeringAdded) this.#lingering.add(id)
-  }
-
   #handleLoad (message: HeartbeatMessage | Extract<DispatcherMessage, { type: 'pong' }>): void {
     this.#load = message.load
-    this.#listedAt = this.#options.clock.now()
     this.#heardSentAt = message.sentAt
     this.#options.relay.notePeerVersion(message.configurationVersion, this.#options.clock.now(), () => { this.send({ type: 'configuration-request' }) })
     this.#options.observer.onLoadChanged(this)
