--- a/packages/transport/test/message-stream.test.ts
+++ b/packages/transport/test/message-stream.test.ts
@@ -46,7 +46,7 @@
   })
 
   // An entry of another writer may name the address of an instance; a dispatcher then sends HTTP to the stream, and null broke its handler.
-  for (const bytes of [Buffer.from('POST /api/hold HTTP/1.1\r\n\r\n'), new Packr({ useRecords: false }).pack(null)]) {
+  for (const bytes of [Buffer.from('POST /jobs HTTP/1.1\r\n\r\n'), new Packr({ useRecords: false }).pack(null)]) {
     it(`closes on ${JSON.stringify(bytes.toString('latin1'))}, which is no message`, async t => {
       const [near, far] = await connectPair(t)
       const received = receive(far, 1)
