--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { call } from './http.mjs'
+import { Proxy } from './proxy.mjs'
 import { Store } from './store.mjs'
 import { Worker } from './worker.mjs'
 
@@ -30,6 +31,7 @@
 export class Fleet {
   store = new Store()
   workers = []
+  proxies = new Map()
   instances = []
   /** What was sent, answered and run, in the order of time. */
   events = []
@@ -57,13 +59,32 @@
     appendFileSync(this.#recordPath, `${JSON.stringify(event)}\n`)
   }
 
-  async addWorker (options, rules) {
-    const worker = new Worker({ service, capacity: { cpu: 32_000, mem_mb: 131_072, gpu: 0 }, labels: ['a', 'r1-1'], ...options }, this.store, fields => { this.record(fields) }, rules)
-    this.workers.push(worker)
+  async addWorker (options) {
+    const worker = this.#createWorker(options)
+    await worker.start()
+    return worker
+  }
+
+  /**
+   * Adds a worker behind a proxy, whose address its entry states.
+   *
+   * @param hold - returns for how many milliseconds the proxy holds a call back; undefined to pass it on
+   */
+  async addWorkerBehindProxy (options, hold) {
+    const worker = this.#createWorker(options)
+    const proxy = new Proxy(() => worker.address, hold)
+    this.proxies.set(worker, proxy)
+    worker.advertised = await proxy.listen()
     await worker.start()
     return worker
   }
 
+  #createWorker (options) {
+    const worker = new Worker({ service, capacity: { cpu: 32_000, mem_mb: 131_072, gpu: 0 }, labels: ['a', 'r1-1'], ...options }, this.store, fields => { this.record(fields) })
+    this.workers.push(worker)
+    return worker
+  }
+
   /** Adds an instance, which is not started yet. */
   async addInstance (name, zone, zones, rules) {
     // Loopback addresses from the process id, so that tests beside each other don't collide.
@@ -156,6 +177,7 @@
       child.kill('SIGKILL')
     }
     await Promise.all(this.instances.map(({ ended }) => ended))
+    for (const proxy of this.proxies.values()) proxy.close()
     for (const worker of this.workers) worker.crash()
     this.store.close()
     if (keep) process.stdout.write(`logs: ${this.#folder}\n`)
@@ -176,13 +198,17 @@
 export async function runTest (recordPath, test) {
   const fleet = new Fleet(recordPath)
   let code = exitCodes.couldNotRun
+  process.once('uncaughtException', error => {
+    fleet.record({ what: 'could not run', error: error.message })
+    fleet.close().finally(() => { process.exit(exitCodes.couldNotRun) })
+  })
   try {
     const breaches = await test(fleet)
     for (const breach of breaches) fleet.record({ what: 'RULE BROKEN', ...breach })
     fleet.record({ what: 'result', trouble: !isCalm, breaches: breaches.length })
     code = breaches.length > 0 ? exitCodes.broken : exitCodes.held
   } catch (error) {
-    fleet.record({ what: 'could not run', error: error.stack })
+    fleet.record({ what: 'could not run', error: error.message })
   } finally {
     await fleet.close()
   }
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -26,24 +26,21 @@
   #seq = 0
   /** What the entry says: `ready` or `draining`. */
   state = 'ready'
-  /** Decides about each call before it is carried out; see `rules` of the constructor. */
-  #rules
 
   /**
    * @param options - `id`, `service`, `zone`, `capacity`, `labels`, and `guards` unless it starts whatever it is told
    * @param record - receives what the worker has been told and has done
-   * @param rules - `onCall (call)` may return `lost` (nothing is done, no answer), or a number of milliseconds after
-   *   which the order is carried out without an answer
    */
-  constructor (options, store, record, rules = {}) {
+  constructor (options, store, record) {
     this.#options = { guards: true, ...options }
     this.#store = store
     this.#record = record
-    this.#rules = rules
   }
 
   get id () { return this.#options.id }
   get address () { return `127.0.0.1:${this.#port}` }
+  /** Address that the entry states: by default that at which the worker listens. */
+  advertised
   get isUp () { return this.#life !== undefined }
   get runs () { return [...this.#life?.runs.values() ?? []] }
 
@@ -70,7 +67,7 @@
   register () {
     const { service, zone, capacity, labels } = this.#options
     this.#seq++
-    this.#store.put('servers', this.id, { service, address: this.address, zone, version: 'v1', slots: 8, state: this.state, cold_ms: 0, capacity, labels, clock_ms: this.#clock(), seq: this.#seq, born: this.#life.born })
+    this.#store.put('servers', this.id, { service, address: this.advertised ?? this.address, zone, version: 'v1', slots: 8, state: this.state, cold_ms: 0, capacity, labels, clock_ms: this.#clock(), seq: this.#seq, born: this.#life.born })
   }
 
   /** Ends the life: everything that runs ends, and nothing is written to the store. */
@@ -102,16 +99,6 @@
       return
     }
     const order = text === '' ? {} : JSON.parse(text)
-    const fate = this.#rules.onCall?.({ worker: this, path: request.url, order })
-    if (fate === 'lost') return
-    if (typeof fate === 'number') {
-      setTimeout(() => {
-        if (this.#life === undefined) return
-        this.#record({ what: 'late-order', worker: this.id, path: request.url, task: order.task, attempt: order.attempt })
-        this.#execute(request.url, order, () => {}, { once: () => {} })
-      }, fate)
-      return
-    }
     this.#execute(request.url, order, (status, body) => { reply(response, status, body) }, response)
   }
 
