--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -128,12 +128,21 @@
     if (typeof deadlineMs !== 'number') return
     const clock = this.#clock()
     life.holdUntil = Math.max(life.holdUntil, Math.min(deadlineMs, clock + maxHoldMs))
+    this.#awaitLapse(life)
+  }
+
+  #awaitLapse (life) {
     clearTimeout(life.lapseTimer)
-    life.lapseTimer = setTimeout(() => { this.#checkLease(life) }, Math.max(0, life.holdUntil - clock) + 1)
+    life.lapseTimer = setTimeout(() => { this.#checkLease(life) }, Math.max(1, life.holdUntil - this.#clock()))
   }
 
   #checkLease (life) {
-    if (life !== this.#life || this.#clock() < life.holdUntil) return
+    if (life !== this.#life) return
+    if (this.#clock() < life.holdUntil) {
+      // Timers may fire a little early.
+      this.#awaitLapse(life)
+      return
+    }
     for (const run of [...life.runs.values()]) this.#endRun(run, 'lapsed')
   }
 
