--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -10,6 +10,8 @@
   #server
   #sockets = new Set()
   #target
+  /** Whether the answers of the worker are lost on their way, as behind a partition in one direction. */
+  areAnswersLost = false
 
   /** @param hold - returns for how many milliseconds a call is held back; undefined for a call that is passed on at once */
   constructor (target, hold) {
@@ -45,10 +47,10 @@
       return
     }
     const forwarded = this.#forward(request, body, answer => {
-      if (response.destroyed) return
+      if (response.destroyed || this.areAnswersLost) return
       response.writeHead(answer.statusCode, answer.headers)
       answer.pipe(response)
-    }, () => { response.destroy() })
+    }, () => { if (!this.areAnswersLost) response.destroy() })
     response.once('close', () => { forwarded.destroy() })
   }
 
