--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -198,10 +198,13 @@
 export async function runTest (recordPath, test) {
   const fleet = new Fleet(recordPath)
   let code = exitCodes.couldNotRun
-  process.once('uncaughtException', error => {
-    fleet.record({ what: 'could not run', error: error.message })
+  const giveUp = reason => {
+    fleet.record({ what: 'could not run', error: reason })
     fleet.close().finally(() => { process.exit(exitCodes.couldNotRun) })
-  })
+  }
+  process.once('uncaughtException', error => { giveUp(error.message) })
+  // The script's time limit.
+  process.once('SIGTERM', () => { giveUp('out of time') })
   try {
     const breaches = await test(fleet)
     for (const breach of breaches) fleet.record({ what: 'RULE BROKEN', ...breach })
