Cancellations are acknowledged once they hold, and cancelled jobs stay cancelled

Change: the ids of cancelled jobs are kept for 60 s, at most 20,000, by each process for its owner and dispatchers together, and are sent with welcomes, their answers and heartbeats. The accepting instance sends a cancellation to the dispatchers of all domains until each has answered. 410 needs the answers of all; 200 needs the job to be known and a dispatcher to have the record; otherwise the answer after 0.9 s is 504. A dispatcher that doesn't know the job answers after 0.3 s, and not before 0.7 s after it began. A job whose route was removed can be cancelled at the instance that has it.

JobOwner.cancel returns an outcome instead of a boolean; two tests compare it with the corresponding outcome. A fake dispatcher of another test gained the method that heartbeats now use.

--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from '@sesamereel/coordination'
-import { ConfigurationRelay, defaultFleetLimits, Directory, DispatcherElection, DispatcherConnection, DomainProbe, type EventLog, type InstanceEntry, type JobAnswer, JobOwner, type JobSpec, OwnerServer, NoopLog, NoopMetrics, type StoreRow, type TargetInfo, TargetList } from '@sesamereel/fleet'
+import { CancelledJobs, ConfigurationRelay, defaultFleetLimits, Directory, DispatcherElection, DispatcherConnection, DomainProbe, type EventLog, type InstanceEntry, type JobAnswer, JobOwner, type JobSpec, OwnerServer, NoopLog, NoopMetrics, type StoreRow, type TargetInfo, TargetList } from '@sesamereel/fleet'
 import { EmulatedConnector, type LateOrders } from './emulated-connector.js'
 import { EmulatedNetwork } from './emulated-network.js'
 import { EmulatedPeerNetwork } from './emulated-peer-network.js'
@@ -200,8 +200,9 @@
     const directory = new Directory(store, clock, log, random)
     const targets = new TargetList(store, emulatedTargetTable, decodeTarget, clock, log, random)
     const relay = new ConfigurationRelay(() => true)
+    const cancelled = new CancelledJobs()
     const server = new OwnerServer(self.incarnation, clock, relay)
-    const owner: JobOwner = new JobOwner({ homeDomain: self.domain, clock, limits, log, metrics }, domain => { election.takeOver(domain) })
+    const owner: JobOwner = new JobOwner({ homeDomain: self.domain, clock, limits, log, metrics, cancelled }, domain => { election.takeOver(domain) })
     const election: DispatcherElection = new DispatcherElection({
       self,
       store,
@@ -223,10 +224,11 @@
         remoteFactor: 1,
         isListComplete: () => targets.isComplete(domain),
         measureListAgeMs: () => targets.measureAgeMs(),
+        cancelled,
         onSuperseded
       })
     })
-    const connections = this.#options.domains.map(domain => new DispatcherConnection({ domain, self, directory, connector: this.peers.connect(self.instance), local: server, relay, clock, log, observer: owner }))
+    const connections = this.#options.domains.map(domain => new DispatcherConnection({ domain, self, directory, connector: this.peers.connect(self.instance), local: server, relay, clock, log, observer: owner, cancelled }))
     for (const connection of connections) {
       owner.addConnection(connection)
       election.addConnection(connection)
--- a/packages/emulator/test/fleet.test.ts
+++ b/packages/emulator/test/fleet.test.ts
@@ -160,11 +160,11 @@
     await fleet.advance(300)
     const cancelled = fleet.instances.get('b-1')!.owner.cancel(job.jobId, 1_000)
     await fleet.advance(1_100)
-    assert.equal(await cancelled, true)
+    assert.equal(await cancelled, 'cancelled')
     assert.equal([...fleet.targets.values()].reduce((sum, target) => sum + target.runCount, 0), 0)
     const unknown = fleet.instances.get('b-1')!.owner.cancel('ffffffffffffffff', 500)
     await fleet.advance(1_100)
-    assert.equal(await unknown, false)
+    assert.equal(await unknown, 'unknown-job')
   })
 
   it('rejects at once jobs that cannot be completed in time', async () => {
--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@sesamereel/coordination'
+import { type CancelledEntry, CancelledJobs } from './cancelled-jobs.js'
 import { type ConfigurationRelay } from './configuration-relay.js'
 import { type Directory, type InstanceEntry, tokensPerRevision } from './directory.js'
 import { type EventLog } from './event-log.js'
@@ -74,6 +75,8 @@
   readonly clock: Clock
   readonly log: EventLog
   readonly observer: DispatcherConnectionObserver
+  /** Cancelled jobs, shared with the owner of this process; by default a list of the connection's own. */
+  readonly cancelled?: CancelledJobs
 }
 
 interface Endpoint {
@@ -96,6 +99,7 @@
   #token = 0
   #load: LoadSummary | undefined
   readonly #lingering = new LingeringList()
+  readonly #cancelled: CancelledJobs
   #disconnectedAt: number
   #lastMessageAt = 0
   #pingedAt = -Infinity
@@ -123,6 +127,7 @@
 
   constructor (options: DispatcherConnectionOptions) {
     this.#options = options
+    this.#cancelled = options.cancelled ?? new CancelledJobs()
     this.#disconnectedAt = options.clock.now()
     this.#checkedAt = this.#disconnectedAt
   }
@@ -317,14 +322,16 @@
       case 'stopped': this.#previousHasEnded = true; return
       case 'welcome':
         this.#heardSentAt = message.sentAt
+        this.#cancelled.merge(message.cancelled ?? [], this.#lastMessageAt)
         this.#handleWelcome(message, endpoint)
-        if (this.#connected && message.sentAt !== undefined) this.#replyToHeartbeat(message.sentAt)
+        if (this.#connected && message.sentAt !== undefined) this.#replyToHeartbeat(message.sentAt, message.cancelled)
         return
       case 'not-dispatching': this.#stream?.close('not dispatching'); return
       case 'configuration': this.#options.relay.applyIfNewer(message, `dispatcher of ${this.domain}`); return
       case 'configuration-request': this.#sendConfiguration(); return
       case 'heartbeat':
         this.#lingering.update(message, this.#options.clock.now())
+        this.#cancelled.merge(message.cancelledAdded ?? [], this.#lastMessageAt)
         this.#handleLoad(message)
         this.#replyToHeartbeat(message.sentAt)
         return
@@ -357,9 +364,21 @@
     this.#options.observer.onConnected(this, isNew)
   }
 
-  /** Answers at once: the dispatcher keeps runs alive only for owners that it knows to live. */
-  #replyToHeartbeat (heardSentAt: number): void {
-    this.send({ type: 'heartbeat-reply', configurationVersion: this.#options.relay.version, heardSentAt })
+  /**
+   * Answers at once: the dispatcher keeps runs alive only for owners that it knows to live.
+   *
+   * @param listed - cancelled jobs that a welcome has listed, so that the answer lists only others; undefined for a
+   *   heartbeat, and for a dispatcher of an earlier version
+   */
+  #replyToHeartbeat (heardSentAt: number, listed?: readonly CancelledEntry[]): void {
+    const cancelled = listed === undefined ? [] : this.#listCancelledExcept(listed)
+    this.send({ type: 'heartbeat-reply', configurationVersion: this.#options.relay.version, heardSentAt, ...(cancelled.length > 0 ? { cancelled } : {}) })
+  }
+
+  /** @returns cancelled jobs that this process knows, without those that the list already tells as much of */
+  #listCancelledExcept (listed: readonly CancelledEntry[]): readonly CancelledEntry[] {
+    const listedIds = new Map(listed.map(([jobId, , wasKnown]) => [jobId, wasKnown]))
+    return this.#cancelled.listChanges(0, this.#options.clock.now()).entries.filter(([jobId, , wasKnown]) => !listedIds.has(jobId) || (wasKnown && listedIds.get(jobId) === false))
   }
 
   #handleLoad (message: HeartbeatMessage | Extract<DispatcherMessage, { type: 'pong' }>): void {
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -1,4 +1,6 @@
 import { type Clock, Mailbox } from '@sesamereel/coordination'
+import { CancellationIntake } from './cancellation-intake.js'
+import { type CancelledChanges, CancelledJobs } from './cancelled-jobs.js'
 import { DispatchState, maintenanceIntervalMs, type ReleaseEvidence } from './dispatch-state.js'
 import { type DispatchedJob } from './dispatched-job.js'
 import { type EventLog } from './event-log.js'
@@ -47,6 +49,8 @@
   readonly isListComplete: () => boolean
   /** Returns the milliseconds since the list of targets was last known to be current. */
   readonly measureListAgeMs: () => number
+  /** Cancelled jobs, shared with the owner of this process; by default a list of the dispatcher's own. */
+  readonly cancelled?: CancelledJobs
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: () => void
 }
@@ -60,6 +64,7 @@
   readonly #options: DispatcherOptions
   readonly #state: DispatchState
   readonly #intake: JobIntake
+  readonly #cancellations: CancellationIntake
   readonly #tracker: RunTracker
   readonly #scheduler: TaskScheduler
   readonly #mailbox: Mailbox<() => void>
@@ -79,6 +84,7 @@
     this.#startedAt = options.clock.now()
     this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics)
     this.#intake = new JobIntake(this.#state)
+    this.#cancellations = new CancellationIntake(this.#state, options.cancelled ?? new CancelledJobs())
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
     this.#tracker = new RunTracker(this.#state, options.limits.lateOrderMs, {
       onChange: () => { this.#mailbox.schedule() },
@@ -146,7 +152,7 @@
   addOwner (connection: OwnerConnection, lingering?: readonly string[]): void {
     const sentAt = this.#state.readElapsed()
     this.#state.owners.add(connection, sentAt)
-    connection.send({ type: 'welcome', token: this.#token, sentAt, ...(lingering === undefined ? {} : { lingering }) })
+    connection.send({ type: 'welcome', token: this.#token, sentAt, ...(lingering === undefined ? {} : { lingering, cancelled: this.#cancellations.listChanges(0).entries }) })
   }
 
   /** Handles the end of an owner's connection. Its jobs are kept for a while in case it reconnects. */
@@ -157,10 +163,16 @@
   /** Queues one message of an owner to be handled. Heartbeats come often and change no queue, so they are handled at once. */
   enqueueMessage (connection: OwnerConnection, message: OwnerMessage): void {
     if (this.#stopped) return
+    if (message.type === 'heartbeat-reply' && message.cancelled !== undefined) this.#cancellations.merge(message.cancelled)
     if (message.type === 'ping' || message.type === 'heartbeat-reply') this.#handleHeartbeat(connection, message.heardSentAt)
     else this.#mailbox.post(() => { this.#handleMessage(connection, message) })
   }
 
+  /** @returns cancelled jobs that were recorded since a sequence number, for the owners */
+  listCancelled (sequence: number): CancelledChanges {
+    return this.#cancellations.listChanges(sequence)
+  }
+
   /** @returns the load summary that is sent to the owners */
   summarizeLoad (): LoadSummary {
     return this.#state.summarizeLoad()
@@ -201,10 +213,12 @@
     // An owner may send a cancellation before it has received the welcome.
     if (message.type !== 'cancel') this.#state.owners.confirm(connection)
     switch (message.type) {
-      case 'submit': this.#intake.handleSubmission(connection, message, job => this.#findReleaseEvidence(job)); break
+      case 'submit':
+        if (!this.#cancellations.refuse(connection, message)) this.#intake.handleSubmission(connection, message, job => this.#findReleaseEvidence(job))
+        break
       case 'withdraw': this.#intake.withdraw(connection, message); break
       case 'cancel': this.#intake.cancel(connection, message, message.reason); break
-      case 'cancel-any': this.#intake.cancelAny(connection, message.jobId); break
+      case 'cancel-any': this.#cancellations.cancel(connection, message.jobId, message.known === true); break
       // These are handled elsewhere.
       case 'ping':
       case 'heartbeat-reply':
@@ -311,6 +325,7 @@
     const { jobs, owners, unclaimedRuns, runs } = this.#state
     this.#state.processingDelay.recordTick(now)
     this.#state.measureEfficiency()
+    this.#cancellations.check(now)
     this.#intake.shedQueuedJobs(now)
     this.#tracker.pollStaleTargets(now)
     this.#dropUnlistedTargets()
--- a/packages/fleet/src/fleet-metrics.ts
+++ b/packages/fleet/src/fleet-metrics.ts
@@ -27,6 +27,10 @@
   abstract observeQueueWait (predictedMs: number, actualMs: number): void
   /** Counts an answer to a caller; `reason` is empty for a completed job. */
   abstract countAnswer (outcome: string, reason: string, durationMs: number): void
+  /** Counts the answer to a caller's cancellation. */
+  abstract countCancellation (outcome: string): void
+  /** Counts a submission of a cancelled job that was refused, by the part that refused it (`owner` or `dispatcher`). */
+  abstract countCancelledSubmission (by: string): void
 }
 
 /** Discards all metrics; for tests. */
@@ -40,4 +44,6 @@
   override countSuperseded (): void {}
   override observeQueueWait (): void {}
   override countAnswer (): void {}
+  override countCancellation (): void {}
+  override countCancelledSubmission (): void {}
 }
--- a/packages/fleet/src/heartbeat-source.ts
+++ b/packages/fleet/src/heartbeat-source.ts
@@ -4,7 +4,7 @@
 /**
  * Builds the heartbeats of one dispatcher. A heartbeat is the same for all owners that have received the
  * one before, so its cost does not grow with the number of owners: it carries only the changes of the
- * list of lingering jobs. The welcome carries the whole list; for an owner of an earlier version its first
+ * list of lingering jobs, and the jobs that were cancelled since. The welcome carries the whole lists; for an owner of an earlier version its first
  * heartbeat does.
  */
 export class HeartbeatSource {
@@ -12,6 +12,8 @@
   #lingering: ReadonlySet<string> = new Set()
   /** Jobs that welcomes have listed although the last heartbeat's list lacks them. */
   readonly #listedEarly = new Set<string>()
+  /** Sequence number of the last cancelled job that a heartbeat has listed. */
+  #cancelledSequence = 0
 
   constructor (dispatcher: Dispatcher) {
     this.#dispatcher = dispatcher
@@ -31,13 +33,16 @@
     const removed = [...this.#lingering, ...this.#listedEarly].filter(id => !lingering.has(id))
     this.#lingering = lingering
     this.#listedEarly.clear()
+    const cancelled = this.#dispatcher.listCancelled(this.#cancelledSequence)
+    this.#cancelledSequence = cancelled.sequence
     return {
       type: 'heartbeat',
       sentAt,
       load: this.#dispatcher.summarizeLoad(),
       configurationVersion,
       ...(added.length > 0 ? { lingeringAdded: added } : {}),
-      ...(removed.length > 0 ? { lingeringRemoved: removed } : {})
+      ...(removed.length > 0 ? { lingeringRemoved: removed } : {}),
+      ...(cancelled.entries.length > 0 ? { cancelledAdded: cancelled.entries } : {})
     }
   }
 
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -96,13 +96,6 @@
     this.#state.log('job', 'cancellation-ignored', { job: jobId, owner: connection.ownerId, submission: submissionId, holder: known.ownerId, newest: known.submissionId })
   }
 
-  /** Ends a job regardless of its owner, and replies whether it was known. */
-  cancelAny (connection: OwnerConnection, jobId: string): void {
-    const job = this.#state.jobs.get(jobId)
-    if (job !== undefined) this.#state.endJob(job, { kind: 'failed', reason: 'cancelled' })
-    connection.send({ type: 'cancelled-any', jobId, found: job !== undefined })
-  }
-
   /**
    * Rejects queued jobs that have not started and are predicted to end too late to be of use, for
    * example because more urgent jobs came after their admission or targets were lost.
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -1,12 +1,15 @@
 import { type Clock } from '@sesamereel/coordination'
+import { CancelledJobs } from './cancelled-jobs.js'
 import { canStartAtOnce, chooseDomain } from './domain-choice.js'
 import { type DispatcherConnection, DispatcherConnectionObserver, lostDispatcherRunExpiryMs } from './dispatcher-connection.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
+import { JobCancellations } from './job-cancellations.js'
 import { type JobSpec, type RejectionReason } from './job-types.js'
 import { type FleetLimits } from './limits.js'
 import { type DispatcherMessage, type LoadSummary } from './messages.js'
 import { type JobAnswer, OwnedJob, type SubmissionRecord } from './owned-job.js'
+import { type CancellationOutcome } from './pending-cancellations.js'
 import { startPeriodicTimer } from './periodic-timer.js'
 
 /** Interval in milliseconds between checks of all jobs for expiry and for lost dispatchers. */
@@ -27,19 +30,14 @@
   readonly abandon: (reason: string) => void
 }
 
-/** A cancellation that waits for the reply of one dispatcher. */
-interface PendingCancellation {
-  readonly jobId: string
-  readonly domain: string
-  readonly finish: (found: boolean) => void
-}
-
 export interface JobOwnerOptions {
   readonly homeDomain: string
   readonly clock: Clock
   readonly limits: FleetLimits
   readonly log: EventLog
   readonly metrics: FleetMetrics
+  /** Cancelled jobs, shared with the dispatchers of this process; by default a list of the owner's own. */
+  readonly cancelled?: CancelledJobs
 }
 
 /**
@@ -52,7 +50,7 @@
   readonly #options: JobOwnerOptions
   readonly #connections = new Map<string, DispatcherConnection>()
   readonly #jobs = new Map<string, OwnedJob>()
-  readonly #pendingCancellations = new Set<PendingCancellation>()
+  readonly #cancellations: JobCancellations
   readonly #onHandOver: (domain: string, successor: string) => void
   #lastSubmissionId = 0
   readonly #cancelTick: () => void
@@ -64,10 +62,20 @@
     super()
     this.#options = options
     this.#onHandOver = onHandOver
+    this.#cancellations = new JobCancellations({
+      clock: options.clock,
+      log: options.log,
+      metrics: options.metrics,
+      cancelled: options.cancelled ?? new CancelledJobs(),
+      connections: this.#connections,
+      hasJob: jobId => this.#jobs.has(jobId),
+      cancelOwnJob: (jobId, reason) => { this.#cancelAndAnswer(this.#jobs.get(jobId)!, { kind: 'failed', reason: 'cancelled' }, reason) }
+    })
     this.#cancelTick = startPeriodicTimer(options.clock, checkIntervalMs, () => { this.#checkJobs() })
   }
 
   get jobCount (): number { return this.#jobs.size }
+  get pendingCancellationCount (): number { return this.#cancellations.pendingCount }
 
   addConnection (connection: DispatcherConnection): void {
     this.#connections.set(connection.domain, connection)
@@ -77,17 +85,23 @@
     return this.#jobs.has(jobId)
   }
 
+  /** @returns whether a job with the id was cancelled lately, or is being cancelled here */
+  isCancelled (jobId: string): boolean {
+    return this.#cancellations.isCancelled(jobId)
+  }
+
   /** @returns whether the dispatcher of at least one domain is connected */
   isDispatcherConnected (): boolean {
     return [...this.#connections.values()].some(connection => connection.isConnected)
   }
 
   /**
-   * Accepts a job, or attaches the caller to the open job with the same id.
+   * Accepts a job, or attaches the caller to the open job with the same id. A job that a caller has cancelled is not run.
    *
    * @param callerTimeoutMs - time in milliseconds that the caller waits; ignored for a known job
    */
   submit (spec: JobSpec, callerTimeoutMs: number): JobHandle {
+    if (this.#cancellations.refuse(spec.id)) return { answer: Promise.resolve({ kind: 'failed', reason: 'cancelled' }), abandon: () => {} }
     const known = this.#jobs.get(spec.id)
     const job = known ?? new OwnedJob(spec, callerTimeoutMs, this.#options.clock.now(), this.#options.clock.readElapsed())
     let waiter: (answer: JobAnswer) => void = () => {}
@@ -103,15 +117,11 @@
   /**
    * Cancels a job, whichever instance owns it.
    *
-   * @param timeoutMs - time in milliseconds to wait for the dispatchers' replies
-   * @returns whether this instance or a dispatcher knew the job
+   * @param timeoutMs - time in milliseconds after which the outcome is `unconfirmed`; the cancellation is pursued further
+   * @returns what is certain about the job
    */
-  async cancel (jobId: string, timeoutMs: number): Promise<boolean> {
-    const ownJob = this.#jobs.get(jobId)
-    if (ownJob !== undefined) this.#cancelAndAnswer(ownJob, { kind: 'failed', reason: 'cancelled' }, 'cancelled by a caller')
-    const connected = [...this.#connections.values()].filter(connection => connection.isConnected)
-    const replies = await Promise.all(connected.map(async connection => await this.#cancelAt(connection, jobId, timeoutMs)))
-    return ownJob !== undefined || replies.includes(true)
+  async cancel (jobId: string, timeoutMs: number): Promise<CancellationOutcome> {
+    return await this.#cancellations.cancel(jobId, timeoutMs)
   }
 
   /** Answers every open job and cancels it at its dispatcher, when the process must stop. */
@@ -124,6 +134,7 @@
   }
 
   override onConnected (connection: DispatcherConnection): void {
+    this.#cancellations.onConnected(connection)
     for (const job of [...this.#jobs.values()]) {
       if (job.location.kind === 'submitted' && job.location.domain === connection.domain) this.#submitTo(job, connection, true)
       else if (job.location.kind === 'withdrawing' && job.location.domain === connection.domain) this.#submitTo(job, connection, true)
@@ -155,7 +166,7 @@
       case 'ended': this.#handleEnded(connection, message); break
       case 'rejected': this.#handleRejection(connection, message); break
       case 'withdrawn': this.#handleWithdrawn(connection, message); break
-      case 'cancelled-any': this.#endCancellations(connection.domain, message.jobId, message.found); break
+      case 'cancelled-any': this.#cancellations.onAnswer(connection.domain, message.jobId, message.found); break
       case 'hand-over': this.#onHandOver(connection.domain, message.successor); break
       default:
     }
@@ -181,6 +192,7 @@
   #handleEnded (connection: DispatcherConnection, { jobId, submissionId, outcome }: Reply<'ended'>): void {
     const job = this.#findJobAt(jobId, connection, submissionId)
     if (job === undefined) return
+    if (outcome.kind === 'failed' && outcome.reason === 'cancelled') this.#cancellations.noteCancelledElsewhere(jobId)
     this.#answerJob(job, outcome)
   }
 
@@ -282,28 +294,6 @@
     }
   }
 
-  /** @returns whether the dispatcher knew the job; false after the timeout */
-  async #cancelAt (connection: DispatcherConnection, jobId: string, timeoutMs: number): Promise<boolean> {
-    return await new Promise<boolean>(resolve => {
-      const finish = (found: boolean): void => {
-        cancelTimer()
-        this.#pendingCancellations.delete(pending)
-        resolve(found)
-      }
-      const cancelTimer = this.#options.clock.startTimer(timeoutMs, () => { finish(false) })
-      const pending = { jobId, domain: connection.domain, finish }
-      this.#pendingCancellations.add(pending)
-      connection.send({ type: 'cancel-any', jobId })
-    })
-  }
-
-  /** A reply ends all cancellations of the job: the dispatcher that found it has dropped it for all of them. */
-  #endCancellations (domain: string, jobId: string, found: boolean): void {
-    for (const pending of [...this.#pendingCancellations]) {
-      if (pending.domain === domain && pending.jobId === jobId) pending.finish(found)
-    }
-  }
-
   #abandon (job: OwnedJob, waiter: (answer: JobAnswer) => void, reason: string): void {
     job.removeWaiter(waiter)
     if (job.waiterCount > 0 || this.#jobs.get(job.spec.id) !== job) return
@@ -353,6 +343,7 @@
 
   #checkJobs (): void {
     const now = this.#options.clock.now()
+    this.#cancellations.applyChanges()
     for (const job of [...this.#jobs.values()]) this.#checkJob(job, now)
   }
 
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,3 +1,4 @@
+import { type CancelledEntry } from './cancelled-jobs.js'
 import { type JobOutcome, type JobSpec, type RejectionReason } from './job-types.js'
 import { type TaskLosses } from './target-losses.js'
 
@@ -43,15 +44,21 @@
    * lingering jobs in the welcome. Earlier versions omit both.
    */
   | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number, readonly expectsList?: boolean }
-  /** Answers a heartbeat, or the welcome; `heardSentAt` is its `sentAt`. */
-  | { readonly type: 'heartbeat-reply', readonly configurationVersion: number, readonly heardSentAt: number }
+  /**
+   * Answers a heartbeat, or the welcome; `heardSentAt` is its `sentAt`. `cancelled`, in the answer to a welcome, holds the
+   * cancelled jobs that the welcome did not list.
+   */
+  | { readonly type: 'heartbeat-reply', readonly configurationVersion: number, readonly heardSentAt: number, readonly cancelled?: readonly CancelledEntry[] }
   /** Asks a dispatcher that has been silent for a pong. `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
   | { readonly type: 'ping', readonly configurationVersion: number, readonly heardSentAt?: number }
   | ({ readonly type: 'submit' } & Submission)
   | { readonly type: 'withdraw', readonly jobId: string, readonly submissionId?: number }
   | { readonly type: 'cancel', readonly jobId: string, readonly reason: string, readonly submissionId?: number }
-  /** Cancels a job, whichever instance owns it; the reply tells whether the dispatcher knew the job. */
-  | { readonly type: 'cancel-any', readonly jobId: string }
+  /**
+   * Cancels a job, whichever instance owns it; the reply tells whether the dispatcher knew the job. `known` says that the
+   * sender did; earlier versions omit it.
+   */
+  | { readonly type: 'cancel-any', readonly jobId: string, readonly known?: boolean }
   /** Answers a request for the configuration. Earlier versions also send it unasked, and answer no request. */
   | { readonly type: 'configuration', readonly version: number, readonly text: string }
   | { readonly type: 'configuration-request' }
@@ -68,6 +75,8 @@
   /** Changes of that list since the last heartbeat; absent if there are none. */
   readonly lingeringAdded?: readonly string[]
   readonly lingeringRemoved?: readonly string[]
+  /** Jobs that were cancelled, or became known to be, since the last heartbeat; absent if there are none. */
+  readonly cancelledAdded?: readonly CancelledEntry[]
 }
 
 /** Messages from a dispatcher to an owner. */
@@ -75,9 +84,10 @@
   | HeartbeatMessage
   /**
    * `sentAt` is the dispatcher's time, as in a heartbeat. `lingering` holds the ids of all jobs that a
-   * resubmission may concern; the next heartbeat carries the changes. Earlier versions omit both.
+   * resubmission may concern; the next heartbeat carries the changes. `cancelled` holds
+   * the cancelled jobs. Earlier versions omit them.
    */
-  | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number, readonly lingering?: readonly string[] }
+  | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number, readonly lingering?: readonly string[], readonly cancelled?: readonly CancelledEntry[] }
   /** The dispatcher has stopped: it sends no more orders and renews no leases. */
   | { readonly type: 'stopped' }
   | { readonly type: 'not-dispatching', readonly incarnation: string }
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -17,6 +17,8 @@
   readonly #secondRuns = this.#createCounter('second_runs_total', 'Runs that a target listed while another run of their task might exist', [])
   readonly #releasedTasks = this.#createCounter('released_tasks_total', 'Tasks that may start again after a takeover, by the evidence that their earlier runs have ended', ['evidence'])
   readonly #targetLosses = this.#createCounter('target_losses_total', 'Losses of a target under a task, by the evidence and by whether other jobs had tasks there', ['evidence', 'alone'])
+  readonly #cancellations = this.#createCounter('cancellations_total', 'Answers to cancellations by outcome', ['outcome'])
+  readonly #cancelledSubmissions = this.#createCounter('cancelled_submissions_total', 'Submissions of cancelled jobs that were refused, by the part that refused them', ['by'])
   readonly #waitSeconds = this.#createHistogram('wait_seconds', 'Time from acceptance to the first start, as predicted at admission and as measured', ['kind'])
   readonly #answerSeconds = this.#createHistogram('answer_seconds', 'Time from acceptance of a job to the answer to its caller', ['outcome'])
 
@@ -59,6 +61,14 @@
     this.#answerSeconds.observe({ outcome }, durationMs / 1_000)
   }
 
+  override countCancellation (outcome: string): void {
+    this.#cancellations.inc({ outcome })
+  }
+
+  override countCancelledSubmission (by: string): void {
+    this.#cancelledSubmissions.inc({ by })
+  }
+
   countStoreCall (call: string, result: string): void {
     this.#storeCalls.inc({ call, result })
   }
--- a/packages/fleet/test/configuration-is-sent-by-all-peers.test.ts
+++ b/packages/fleet/test/configuration-is-sent-by-all-peers.test.ts
@@ -28,7 +28,7 @@
 
   constructor () {
     this.relay.applyIfNewer({ version: 1, text: '' }, 'store')
-    this.#server.addDispatcher({ domain: 'a', addOwner: () => {}, removeOwner: () => {}, enqueueMessage: () => {}, listLingering: () => [], summarizeLoad: () => createHeartbeat(1).load } as unknown as Dispatcher)
+    this.#server.addDispatcher({ domain: 'a', addOwner: () => {}, removeOwner: () => {}, enqueueMessage: () => {}, listLingering: () => [], listCancelled: () => ({ entries: [], sequence: 0 }), summarizeLoad: () => createHeartbeat(1).load } as unknown as Dispatcher)
     for (let index = 0; index < ownerCount; index++) this.#connectOwner(index)
   }
 
--- a/packages/fleet/test/job-owner.test.ts
+++ b/packages/fleet/test/job-owner.test.ts
@@ -12,7 +12,7 @@
     owner.onDispatcherMessage(home.asConnection(), { type: 'cancelled-any', jobId: spec.id, found: true })
     owner.onDispatcherMessage(home.asConnection(), { type: 'cancelled-any', jobId: spec.id, found: false })
     await clock.advance(1_100)
-    assert.deepEqual(await replies, [true, true])
+    assert.deepEqual(await replies, ['cancelled', 'cancelled'])
     owner.close()
   })
 
