--- a/packages/fleet/src/cancellation-intake.ts
+++ b/packages/fleet/src/cancellation-intake.ts
@@ -1,4 +1,4 @@
-import { type CancelledChanges, type CancelledEntry, type CancelledJobs } from './cancelled-jobs.js'
+import { type CancelledChanges, type CancelledEntry, type CancelledJobs, maxCancelledJobs } from './cancelled-jobs.js'
 import { type DispatchState } from './dispatch-state.js'
 import { type JobOutcome } from './job-types.js'
 import { type Submission } from './messages.js'
@@ -23,9 +23,6 @@
 /** Number of owners that must have a record before its cancellation is answered. One may be in the dispatcher's own process. */
 const requiredOwners = 2
 
-/** Largest number of delayed answers. Beyond it the oldest is not given, so that the owner's caller asks again. */
-const maxDelayedAnswers = 20_000
-
 /** Time in milliseconds for which a dropped job stays known; its owner may return as long as its caller waits. */
 const droppedRetentionMs = 10_000
 
@@ -72,7 +69,7 @@
   /** Owners that have closed their connection or ended; one that is paused or cut off can't. */
   readonly #closedOwners = new Set<string>()
   /** Jobs that were cancelled, or dropped because their owner was lost or never appeared. */
-  readonly #dropped = new RecentRecords<DroppedJob>(droppedRetentionMs)
+  readonly #dropped = new RecentRecords<DroppedJob>(droppedRetentionMs, maxCancelledJobs)
   /** Sequence number of the last change of the records that was applied to the jobs. */
   #appliedSequence = 0
 
@@ -114,7 +111,11 @@
   refuse (connection: OwnerConnection, { job, submissionId }: Submission): boolean {
     const now = this.#state.now()
     const record = this.#cancelled.find(job.id, now)
-    if (record === undefined) return false
+    if (record === undefined) {
+      // From now on the job itself shows whether it is known.
+      this.#dropped.forget(job.id)
+      return false
+    }
     this.#cancelled.markKnown(job.id, now)
     this.noteDropped(job.id, connection.ownerId)
     const known = this.#state.jobs.get(job.id)
@@ -227,8 +228,10 @@
 
   #delayAnswer (answer: DelayedAnswer): void {
     const key = `${answer.connection.ownerId} ${answer.jobId}`
-    this.#delayed.delete(key)
-    this.#delayed.set(key, answer)
-    if (this.#delayed.size > maxDelayedAnswers) this.#delayed.delete(this.#delayed.keys().next().value!)
+    const earlier = this.#delayed.get(key)
+    // The times of the first cancellation count, so that repeats don't put the answer off.
+    this.#delayed.set(key, earlier === undefined ? answer : { ...earlier, connection: answer.connection, isKnown: earlier.isKnown || answer.isKnown })
+    // The caller of the oldest gets no answer from here, and asks again.
+    if (this.#delayed.size > maxCancelledJobs) this.#delayed.delete(this.#delayed.keys().next().value!)
   }
 }
--- a/packages/fleet/src/recent-records.ts
+++ b/packages/fleet/src/recent-records.ts
@@ -9,16 +9,22 @@
   /** Records in the order in which they were made. */
   readonly #records = new Map<string, RecentRecord<V>>()
   readonly #retentionMs: number
+  readonly #maxCount: number
 
-  /** @param retentionMs - time in milliseconds for which a value is kept */
-  constructor (retentionMs: number) {
+  /**
+   * @param retentionMs - time in milliseconds for which a value is kept
+   * @param maxCount - largest number of values that are kept; the oldest are removed first
+   */
+  constructor (retentionMs: number, maxCount = Infinity) {
     this.#retentionMs = retentionMs
+    this.#maxCount = maxCount
   }
 
   /** Records a value in place of an earlier one of the key. */
   record (key: string, value: V, now: number): void {
     this.#records.delete(key)
     this.#records.set(key, { value, recordedAt: now })
+    if (this.#records.size > this.#maxCount) this.#records.delete(this.#records.keys().next().value!)
   }
 
   find (key: string): V | undefined {
--- a/packages/fleet/test/cancellation-without-evidence.test.ts
+++ b/packages/fleet/test/cancellation-without-evidence.test.ts
@@ -127,7 +127,10 @@
   it('does not know a job that no owner submits, and says so only once all owners were heard', async () => {
     const { dispatcher, owner, other, advance } = createFixture()
     dispatcher.enqueueMessage(other, cancelAny)
-    await advance(650, [owner, other])
+    for (let repeat = 0; repeat < 13; repeat++) {
+      await advance(50, [owner, other])
+      dispatcher.enqueueMessage(other, cancelAny)
+    }
     assert.deepEqual(listAnswers(other), [])
     await advance(150, [owner, other])
     assert.deepEqual(listAnswers(other), [false])
