--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -1,4 +1,6 @@
 import { type Clock, Mailbox } from '@sesamereel/coordination'
+import { CancellationIntake } from './cancellation-intake.js'
+import { type CancelledChanges, CancelledJobs } from './cancelled-jobs.js'
 import { DispatchState, maintenanceIntervalMs, type ReleaseEvidence } from './dispatch-state.js'
 import { type DispatchedJob } from './dispatched-job.js'
 import { type EventLog } from './event-log.js'
@@ -47,6 +49,8 @@
   readonly isListComplete: () => boolean
   /** Returns the milliseconds since the list of targets was last known to be current. */
   readonly measureListAgeMs: () => number
+  /** Cancelled jobs, shared with the owner of this process; by default a list of the dispatcher's own. */
+  readonly cancelled?: CancelledJobs
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: () => void
 }
@@ -60,6 +64,7 @@
   readonly #options: DispatcherOptions
   readonly #state: DispatchState
   readonly #intake: JobIntake
+  readonly #cancellations: CancellationIntake
   readonly #tracker: RunTracker
   readonly #scheduler: TaskScheduler
   readonly #mailbox: Mailbox<() => void>
@@ -79,6 +84,7 @@
     this.#startedAt = options.clock.now()
     this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics)
     this.#intake = new JobIntake(this.#state)
+    this.#cancellations = new CancellationIntake(this.#state, options.cancelled ?? new CancelledJobs())
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
     this.#tracker = new RunTracker(this.#state, options.limits.lateOrderMs, {
       onChange: () => { this.#mailbox.schedule() },
@@ -146,21 +152,28 @@
   addOwner (connection: OwnerConnection, lingering?: readonly string[]): void {
     const sentAt = this.#state.readElapsed()
     this.#state.owners.add(connection, sentAt)
-    connection.send({ type: 'welcome', token: this.#token, sentAt, ...(lingering === undefined ? {} : { lingering }) })
+    connection.send({ type: 'welcome', token: this.#token, sentAt, ...(lingering === undefined ? {} : { lingering, cancelled: this.#cancellations.listAll() }) })
   }
 
   /** Handles the end of an owner's connection. Its jobs are kept for a while in case it reconnects. */
   removeOwner (connection: OwnerConnection): void {
     this.#state.owners.remove(connection, this.#state.now())
+    this.#cancellations.noteOwnerClosed(connection)
   }
 
   /** Queues one message of an owner to be handled. Heartbeats come often and change no queue, so they are handled at once. */
   enqueueMessage (connection: OwnerConnection, message: OwnerMessage): void {
     if (this.#stopped) return
+    if (message.type === 'heartbeat-reply' && message.cancelled !== undefined) this.#cancellations.merge(message.cancelled)
     if (message.type === 'ping' || message.type === 'heartbeat-reply') this.#handleHeartbeat(connection, message.heardSentAt)
     else this.#mailbox.post(() => { this.#handleMessage(connection, message) })
   }
 
+  /** @returns cancelled jobs that were recorded since a sequence number, for the owners */
+  listCancelled (sequence: number): CancelledChanges {
+    return this.#cancellations.listChanges(sequence)
+  }
+
   /** @returns the load summary that is sent to the owners */
   summarizeLoad (): LoadSummary {
     return this.#state.summarizeLoad()
@@ -201,10 +214,12 @@
     // An owner may send a cancellation before it has received the welcome.
     if (message.type !== 'cancel') this.#state.owners.confirm(connection)
     switch (message.type) {
-      case 'submit': this.#intake.handleSubmission(connection, message, job => this.#findReleaseEvidence(job)); break
+      case 'submit':
+        if (!this.#cancellations.refuse(connection, message)) this.#intake.handleSubmission(connection, message, job => this.#findReleaseEvidence(job))
+        break
       case 'withdraw': this.#intake.withdraw(connection, message); break
       case 'cancel': this.#intake.cancel(connection, message, message.reason); break
-      case 'cancel-any': this.#intake.cancelAny(connection, message.jobId); break
+      case 'cancel-any': this.#cancellations.cancel(connection, message.jobId, message.known === true); break
       // These are handled elsewhere.
       case 'ping':
       case 'heartbeat-reply':
@@ -311,16 +326,22 @@
     const { jobs, owners, unclaimedRuns, runs } = this.#state
     this.#state.processingDelay.recordTick(now)
     this.#state.measureEfficiency()
+    this.#cancellations.check(now)
     this.#intake.shedQueuedJobs(now)
     this.#tracker.pollStaleTargets(now)
     this.#dropUnlistedTargets()
     for (const ownerId of owners.takeExpired(now)) {
-      for (const job of [...jobs.values()]) if (job.ownerId === ownerId) this.#state.dropJob(job, 'owner lost')
+      for (const job of [...jobs.values()]) {
+        if (job.ownerId !== ownerId) continue
+        this.#cancellations.noteDropped(job.id, job.ownerId)
+        this.#state.dropJob(job, 'owner lost')
+      }
     }
     for (const job of [...jobs.values()]) if (owners.hasGivenUp(job.connection)) this.#state.dropJob(job, 'given up by its owner')
     for (const name of unclaimedRuns.takeExpired(now)) {
       const active = runs.get(name)
       if (active === undefined) continue
+      if (active.run.name !== undefined) this.#cancellations.noteDropped(active.run.name.jobId, undefined)
       this.#state.log('order', 'unclaimed-run-stopped', { task: name, attempt: active.run.attempt, target: active.session.info.id, foundMsAgo: Math.round(now - active.run.sentAt) })
       active.session.stopRun(active.run)
     }
