Learn run times of contending queues

Cause: queues of several priorities that compete for too little capacity were ordered, admitted and shed by the callers' estimates. These leave out the latency of the path, so jobs that could only just be on time were started first and answered late. Predicted waits counted the work of late jobs that start after the job. Change: RunTimeModel learns for each service and priority the median ratio of observed to estimated run times, relative to the target's slowness. Urgency, admission, shedding and the predicted wait use it for services with routes of at least two priorities (DispatcherOptions.isContended, from the configuration in force). Elsewhere nothing is recorded and the decisions are unchanged.

--- a/packages/fleet/src/admission.ts
+++ b/packages/fleet/src/admission.ts
@@ -1,4 +1,4 @@
-import { type QueuedJob } from './queue-order.js'
+import { getEstimateMs, type QueuedJob } from './queue-order.js'
 
 /** Queued work and throughput of a dispatcher, from which waits are predicted. */
 export interface LoadEstimate {
@@ -59,13 +59,14 @@
  *   times thousandths of a core
  * @param throughput - work that the targets complete per millisecond, in thousandths of a core
  * @param now - monotonic time in milliseconds
+ * @param predictRemainingMs - predicts the run time of a job's unfinished steps in milliseconds; by the callers' estimates if absent
  */
-export function selectJobsToShed<J extends QueuedJob & { readonly started: boolean }> (sorted: readonly J[], measureWork: (job: J) => number, throughput: number, now: number): ReadonlyArray<ShedJob<J>> {
+export function selectJobsToShed<J extends QueuedJob & { readonly started: boolean }> (sorted: readonly J[], measureWork: (job: J) => number, throughput: number, now: number, predictRemainingMs: (job: J) => number = getEstimateMs): ReadonlyArray<ShedJob<J>> {
   const jobsToShed: Array<ShedJob<J>> = []
   let workAhead = 0
   for (const job of sorted) {
     const waitMs = predictWaitMs({ workAhead, throughput })
-    if (job.started || now + waitMs + job.remainingMs <= job.usefulUntil) workAhead += measureWork(job)
+    if (job.started || now + waitMs + predictRemainingMs(job) <= job.usefulUntil) workAhead += measureWork(job)
     else jobsToShed.push({ job, waitMs })
   }
   return jobsToShed
--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@sesamereel/coordination'
+import { Contention } from './contention.js'
 import { DispatchEfficiency } from './dispatch-efficiency.js'
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { type EventLog, type LogFields } from './event-log.js'
@@ -88,6 +89,7 @@
   /** The targets that were lost under each task. */
   readonly losses = new TargetLosses()
   readonly processingDelay = new ProcessingDelay(maintenanceIntervalMs)
+  readonly contention: Contention
   readonly #efficiency = new DispatchEfficiency()
   readonly #clock: Clock
   readonly #limits: FleetLimits
@@ -100,7 +102,9 @@
   readonly #repeats = new RecentRecords<Repeat>(outcomeRetentionMs)
   #unreportedDone = new Map<string, number[]>()
 
-  constructor (clock: Clock, limits: FleetLimits, log: EventLog, metrics: FleetMetrics) {
+  /** @param isContended - whether queues of several priorities compete for the targets of a service */
+  constructor (clock: Clock, limits: FleetLimits, log: EventLog, metrics: FleetMetrics, isContended: (service: string) => boolean = () => false) {
+    this.contention = new Contention(isContended)
     this.#clock = clock
     this.#limits = limits
     this.#log = log
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -8,6 +8,7 @@
 import { type LoadSummary, type OwnerMessage } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
 import { startPeriodicTimer } from './periodic-timer.js'
+import { type LearnedRunTime } from './run-time-model.js'
 import { RunTracker } from './run-tracker.js'
 import { TargetSession } from './target-session.js'
 import { type TargetConnector, type TargetInfo } from './target-types.js'
@@ -47,6 +48,8 @@
   readonly isListComplete: () => boolean
   /** Returns the milliseconds since the list of targets was last known to be current. */
   readonly measureListAgeMs: () => number
+  /** Whether the operator's configuration has queues of several priorities for a service; never if absent. */
+  readonly isContended?: (service: string) => boolean
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: () => void
 }
@@ -77,7 +80,7 @@
     this.#options = options
     this.#token = options.token
     this.#startedAt = options.clock.now()
-    this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics)
+    this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics, options.isContended)
     this.#intake = new JobIntake(this.#state)
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
     this.#tracker = new RunTracker(this.#state, options.limits.lateOrderMs, {
@@ -101,6 +104,11 @@
     return now - oldest
   }
 
+  /** @returns the learned run times of the queues that compete for targets */
+  listRunTimes (): readonly LearnedRunTime[] {
+    return this.#state.contention.listRunTimes()
+  }
+
   /** @returns the sessions of all targets */
   listSessions (): readonly TargetSession[] {
     return [...this.#state.sessions.values()]
@@ -311,6 +319,7 @@
     const { jobs, owners, unclaimedRuns, runs } = this.#state
     this.#state.processingDelay.recordTick(now)
     this.#state.measureEfficiency()
+    this.#state.contention.update(this.#state.sessions.values(), now)
     this.#intake.shedQueuedJobs(now)
     this.#tracker.pollStaleTargets(now)
     this.#dropUnlistedTargets()
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -108,13 +108,13 @@
    * example because more urgent jobs came after their admission or targets were lost.
    */
   shedQueuedJobs (now: number): void {
-    const { queue } = this.#state
+    const { queue, contention } = this.#state
     if (queue.size === 0) return
-    const sorted = sortQueue([...queue], now)
+    const sorted = sortQueue([...queue], now, contention.predictRemainingMs)
     for (const service of new Set(sorted.map(job => job.spec.service))) {
       const throughput = this.#state.estimateThroughput(service)
       const jobs = sorted.filter(job => job.spec.service === service)
-      for (const { job, waitMs } of selectJobsToShed(jobs, sumWaitingWork, throughput, now)) this.#shedJob(job, waitMs, now)
+      for (const { job, waitMs } of selectJobsToShed(jobs, sumWaitingWork, throughput, now, contention.predictRemainingMs)) this.#shedJob(job, waitMs, now)
     }
   }
 
@@ -238,17 +238,17 @@
    */
   #rejectUnlessAdmitted (job: DispatchedJob): boolean {
     if (this.#closed) return this.#reject(job, 'stopping', minRetryMs, {})
-    const { sessions, queue } = this.#state
+    const { sessions, queue, contention } = this.#state
     const problem = this.#findPlacementProblem(job)
     if (problem !== undefined) return this.#reject(job, problem, noTargetRetryMs, { targets: sessions.size })
     const now = this.#state.now()
     const throughput = this.#state.estimateThroughput(job.spec.service)
-    const load = estimateLoad(queue, throughput, job)
+    const load = estimateLoad(queue, throughput, job, contention.createComparison(job.spec.service, now))
     // With work ahead of the job, its own tasks start one after the other as capacity becomes free.
     const ownWorkMs = load.workAhead > 0 && throughput > 0 ? sumWaitingWork(job) / throughput : 0
     const { delayPerJobMs } = this.#state.processingDelay
-    const decision = decideAdmission(load, job.remainingMs + ownWorkMs + delayPerJobMs, job.usefulUntil - now)
-    const inputs = { predictedMs: Math.round(decision.predictedMs), usefulMs: Math.round(job.usefulUntil - now), queued: queue.size, rate: Math.round(throughput), delayMs: Math.round(delayPerJobMs) }
+    const decision = decideAdmission(load, contention.predictRemainingMs(job) + ownWorkMs + delayPerJobMs, job.usefulUntil - now)
+    const inputs = { predictedMs: Math.round(decision.predictedMs), usefulMs: Math.round(job.usefulUntil - now), queued: queue.size, rate: Math.round(throughput), delayMs: Math.round(delayPerJobMs), ...contention.describeInputs(job) }
     if (decision.kind === 'reject') return this.#reject(job, 'overloaded', decision.retryAfterMs, inputs)
     job.predictedWaitMs = decision.waitMs
     this.#state.log('job', 'job-admitted', { job: job.id, ...inputs, waitMs: Math.round(decision.waitMs) })
--- a/packages/fleet/src/load-estimates.ts
+++ b/packages/fleet/src/load-estimates.ts
@@ -35,16 +35,31 @@
   return processors
 }
 
+/**
+ * Computes the usual slowness of targets: the mean of the middle half, so that neither a target that fails fast or
+ * lies nor one with a straggler shifts it.
+ *
+ * @returns 1 without targets
+ */
+export function computeUsualSlowness (slowness: readonly number[]): number {
+  if (slowness.length === 0) return 1
+  const sorted = [...slowness].sort((a, b) => a - b)
+  const cut = Math.floor(sorted.length / 4)
+  const middle = sorted.slice(cut, sorted.length - cut)
+  return middle.reduce((sum, value) => sum + value, 0) / middle.length
+}
+
 /**
  * Estimates the load that comes before a job in the queue.
  *
  * @param queue - jobs with waiting tasks
  * @param throughput - work that the targets complete per millisecond, in thousandths of a core
+ * @param compare - orders two jobs by when they start
  */
-export function estimateLoad (queue: Iterable<DispatchedJob>, throughput: number, job: DispatchedJob): LoadEstimate {
+export function estimateLoad (queue: Iterable<DispatchedJob>, throughput: number, job: DispatchedJob, compare: (a: DispatchedJob, b: DispatchedJob) => number = compareJobs): LoadEstimate {
   let work = 0
   for (const other of queue) {
-    if (other.spec.service === job.spec.service && compareJobs(other, job) <= 0) work += sumWaitingWork(other)
+    if (other.spec.service === job.spec.service && compare(other, job) <= 0) work += sumWaitingWork(other)
   }
   return { workAhead: work, throughput }
 }
--- a/packages/fleet/src/queue-order.ts
+++ b/packages/fleet/src/queue-order.ts
@@ -19,14 +19,21 @@
 /** A late job of which at most this fraction waits takes less work to finish than would be wasted by giving it up. */
 const nearlyDoneFraction = 0.25
 
+/** @returns the run time of the job's unfinished steps by the caller's estimate, in milliseconds */
+export function getEstimateMs (job: QueuedJob): number {
+  return job.remainingMs
+}
+
 /** Whether a job can still be answered on time, late but usefully, or only too late to be of use. */
 export type Urgency = 'on-time' | 'late' | 'useless'
 
 /**
  * Classifies a job by the time at which it would end if it continued now.
+ *
+ * @param remainingMs - predicted run time of the job's unfinished steps, in milliseconds
  */
-export function classifyUrgency (job: QueuedJob, now: number): Urgency {
-  const end = now + job.remainingMs
+export function classifyUrgency (job: QueuedJob, now: number, remainingMs = job.remainingMs): Urgency {
+  const end = now + remainingMs
   if (end <= job.objectiveAt) return 'on-time'
   return end <= job.usefulUntil ? 'late' : 'useless'
 }
@@ -36,8 +43,8 @@
  * wait rank with the jobs that can be on time, and other started ones before the rest of the late
  * jobs: a started job that waits until it is of no use has wasted its work.
  */
-function rankJob (job: QueuedJob, now: number): number {
-  const urgency = classifyUrgency(job, now)
+function rankJob (job: QueuedJob, now: number, remainingMs: number): number {
+  const urgency = classifyUrgency(job, now, remainingMs)
   if (urgency === 'on-time') return 0
   if (urgency === 'useless') return 3
   if (job.started && job.waitingFraction <= nearlyDoneFraction) return 0
@@ -54,15 +61,26 @@
   return a.priority - b.priority || a.objectiveAt - b.objectiveAt || a.acceptedAt - b.acceptedAt
 }
 
+/**
+ * Orders two jobs by when they start in an overload, as `sortQueue` does.
+ *
+ * @param predictRemainingMs - predicts the run time of a job's unfinished steps in milliseconds
+ * @returns a negative number when `a` goes first
+ */
+export function compareInOverload<J extends QueuedJob> (a: J, b: J, now: number, predictRemainingMs: (job: J) => number): number {
+  return rankJob(a, now, predictRemainingMs(a)) - rankJob(b, now, predictRemainingMs(b)) || compareJobs(a, b)
+}
+
 /**
  * Sorts jobs for an overload: jobs that can still be on time go first, so that a job that can no
  * longer meet its objective does not delay those that can.
  *
+ * @param predictRemainingMs - predicts the run time of a job's unfinished steps in milliseconds; by the callers' estimates if absent
  * @returns a new list
  */
-export function sortQueue<J extends QueuedJob> (jobs: readonly J[], now: number): J[] {
+export function sortQueue<J extends QueuedJob> (jobs: readonly J[], now: number, predictRemainingMs: (job: J) => number = getEstimateMs): J[] {
   return jobs
-    .map(job => ({ job, rank: rankJob(job, now) }))
+    .map(job => ({ job, rank: rankJob(job, now, predictRemainingMs(job)) }))
     .sort((a, b) => a.rank - b.rank || compareJobs(a.job, b.job))
     .map(entry => entry.job)
 }
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -177,6 +177,7 @@
     const { job, task } = this.#state.findTaskOfRun(run)
     if (how !== 'done' || job === undefined || task === undefined) return
     const { estimateMs } = job.getStep(task)
+    this.#state.contention.recordRun(job, task, session, now - run.sentAt, now)
     session.health.recordSuccess(estimateMs > 0 ? (now - run.sentAt) / estimateMs : 1)
   }
 
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -58,7 +58,7 @@
     this.#isolation.beginRound()
     let round: Round = { now, elapsedLeadMs: this.#state.measureElapsedLead(), usable, candidates: usable.filter(hasRoom).map(session => new SessionCandidate(session)), fullFor: new Set() }
     const newlyStarted = new Map<string, string[]>()
-    for (const job of sortQueue(fitting, now)) {
+    for (const job of sortQueue(fitting, now, this.#state.contention.predictRemainingMs)) {
       if (round.candidates.length === 0) break
       const wasStarted = job.started
       const startCount = this.#startTasksOf(job, round)
--- /dev/null
+++ b/packages/fleet/test/contention-replay.ts
@@ -0,0 +1,264 @@
+import { type Candidate, compareInOverload, compareJobs, decideAdmission, pickTarget, type QueuedJob, selectJobsToShed, sortQueue, type StepSpec, TargetHealth } from '../src/index.js'
+import { DispatchEfficiency } from '../src/dispatch-efficiency.js'
+import { computeUsualSlowness } from '../src/load-estimates.js'
+import { type RunTimeModel } from '../src/run-time-model.js'
+
+/** One queue of the load. */
+interface ReplayQueue {
+  readonly width: number
+  readonly runMs: number
+  /** Share of the work that is offered outside bursts. */
+  readonly share: number
+}
+
+/** The load of the requirements: short wide jobs, medium and long ones, by priority. */
+const queues: readonly ReplayQueue[] = [
+  { width: 8, runMs: 60, share: 0.3 },
+  { width: 2, runMs: 200, share: 0.3 },
+  { width: 4, runMs: 900, share: 0.4 }
+]
+
+/** The decisions that the replay plays with; absent ones are the present decisions. */
+export interface ReplayPolicy {
+  readonly model?: RunTimeModel
+}
+
+export interface ReplayLoad {
+  /** Seconds, of which every second five bring a burst. */
+  readonly seconds: number
+  /** Factor of the long jobs during a burst. */
+  readonly burstFactor: number
+  /** Offered work relative to the capacity during a burst; outside, the other queues continue unchanged. */
+  readonly burstLoad: number
+  /** Amplitude of a wave over 8 s that all queues follow. */
+  readonly wave: number
+  /** Slowness of the targets, used in turn. */
+  readonly speeds: readonly number[]
+}
+
+/** Bursts of long jobs at targets of one speed. */
+export const bursts: ReplayLoad = { seconds: 20, burstFactor: 2.5, burstLoad: 1.1, wave: 0, speeds: [1] }
+
+/** Waves at targets of two speeds. */
+export const waves: ReplayLoad = { seconds: 20, burstFactor: 1, burstLoad: 0.85, wave: 0.55, speeds: [1, 1.7] }
+
+/** Answers of one queue, and the sum of the errors of the predicted waits. */
+export interface Tally { onTime: number, late: number, useless: number, rejected: number, waitErrorMs: number }
+
+const targetCount = 32
+const targetProcessors = 32_000
+/** Part of the processors that tasks of half a target get in practice. */
+const packing = 0.85
+/** Latency added on the path: order to the target, and until its end is seen. */
+const orderMs = 6
+const endMs = 12
+const stragglerShare = 0.03
+const stragglerFactor = 7
+
+class ReplayJob implements QueuedJob {
+  readonly id: string
+  readonly priority: number
+  readonly objectiveAt: number
+  readonly usefulUntil: number
+  readonly acceptedAt: number
+  readonly remainingMs: number
+  readonly taskMs: readonly number[]
+  readonly latencyMs: readonly number[]
+  readonly step: StepSpec
+  started = false
+  predictedWaitMs = 0
+  waiting: number
+  left: number
+
+  constructor (id: string, priority: number, now: number, random: () => number) {
+    const { width, runMs } = queues[priority]!
+    this.id = id
+    this.priority = priority
+    this.acceptedAt = now
+    this.remainingMs = runMs * (0.6 + 0.8 * random())
+    this.objectiveAt = now + 1.6 * this.remainingMs + 60
+    this.usefulUntil = now + 3 * (this.objectiveAt - now)
+    this.taskMs = Array.from({ length: width }, () => runMs * (0.95 + 0.1 * random()) * (random() < stragglerShare ? stragglerFactor : 1))
+    this.latencyMs = this.taskMs.map(() => orderMs + endMs * 2 * random())
+    const processors = Math.min(24_000, Math.round(16_000 * (0.8 + 0.4 * random())))
+    this.step = { count: width, demand: { processors, memoryMb: 0, accelerators: 0 }, estimateMs: this.remainingMs, after: [] }
+    this.waiting = width
+    this.left = width
+  }
+
+  get queue (): string { return `s ${this.priority}` }
+  get waitingFraction (): number { return this.waiting / this.taskMs.length }
+  get waitingWork (): number { return this.waiting * this.remainingMs * this.step.demand.processors }
+}
+
+class ReplayTarget implements Candidate {
+  readonly info: Candidate['info']
+  readonly health = new TargetHealth()
+  readonly speed: number
+  freeCapacity = { processors: targetProcessors, memoryMb: 1, accelerators: 0 }
+
+  constructor (index: number, speed: number) {
+    this.info = { id: `t${index}`, address: '', service: 's', domain: 'a', draining: false, capacity: this.freeCapacity, labels: [], revision: 1 }
+    this.speed = speed
+  }
+
+  get slowness (): number { return this.health.slowness }
+
+  occupy (processors: number): void {
+    this.freeCapacity = { ...this.freeCapacity, processors: this.freeCapacity.processors - processors }
+  }
+}
+
+interface ReplayRun { readonly job: ReplayJob, readonly target: ReplayTarget, readonly sentAt: number }
+
+/** Plays one load with one set of decisions in steps of 1 ms; bounded by its seconds. */
+class Replay {
+  readonly tallies: readonly Tally[] = queues.map(() => ({ onTime: 0, late: 0, useless: 0, rejected: 0, waitErrorMs: 0 }))
+  readonly #policy: ReplayPolicy
+  readonly #load: ReplayLoad
+  readonly #random: () => number
+  readonly #targets: readonly ReplayTarget[]
+  readonly #queue = new Set<ReplayJob>()
+  readonly #ends = new Map<number, ReplayRun[]>()
+  readonly #efficiency = new DispatchEfficiency()
+  #usualSlowness = 1
+  #nextId = 0
+
+  constructor (policy: ReplayPolicy, load: ReplayLoad, seed: number) {
+    this.#policy = policy
+    this.#load = load
+    this.#random = createRandom(seed)
+    this.#targets = Array.from({ length: targetCount }, (_, index) => new ReplayTarget(index, load.speeds[index % load.speeds.length]!))
+  }
+
+  play (): readonly Tally[] {
+    const endsAt = this.#load.seconds * 1_000
+    // The last jobs are given the time to end.
+    for (let now = 0; now < endsAt + 12_000; now++) {
+      let changed = false
+      for (const run of this.#ends.get(now) ?? []) {
+        this.#endRun(run, now)
+        changed = true
+      }
+      this.#ends.delete(now)
+      if (now < endsAt) changed = this.#createArrivals(now) || changed
+      if (now % 50 === 0) this.#maintain(now)
+      if (changed) this.#startTasks(now)
+    }
+    return this.tallies
+  }
+
+  #createArrivals (now: number): boolean {
+    const { burstFactor, burstLoad, wave, speeds } = this.#load
+    const size = queues.length
+    const meanFactor = 1 + stragglerShare * (stragglerFactor - 1)
+    const speed = speeds.reduce((sum, slowness) => sum + 1 / slowness, 0) / speeds.length
+    const capacity = targetCount * targetProcessors * packing * speed / meanFactor
+    const burstShare = queues.reduce((sum, { share }, index) => sum + share * (index === size - 1 ? burstFactor : 1), 0)
+    const isBurst = now % 10_000 >= 4_000 && now % 10_000 < 9_000
+    let changed = false
+    for (const [priority, { share, width, runMs }] of queues.entries()) {
+      const factor = (isBurst && priority === size - 1 ? burstFactor : 1) * (1 + wave * Math.sin(now / 8_000 * 2 * Math.PI))
+      const perMs = capacity * burstLoad / burstShare * share * factor / (width * runMs * 16_000)
+      // At most two arrivals of a queue in a millisecond; the rates are far below one.
+      for (let chance = perMs; chance > 0; chance--) {
+        if (this.#random() >= chance) continue
+        this.#admit(new ReplayJob(`j${this.#nextId++}`, priority, now, this.#random), now)
+        changed = true
+      }
+    }
+    return changed
+  }
+
+  readonly #predictMs = (job: ReplayJob): number => {
+    const { model } = this.#policy
+    return model === undefined ? job.remainingMs : job.remainingMs * model.getMedian(job.queue) * this.#usualSlowness
+  }
+
+  #estimateThroughput (): number {
+    return this.#targets.reduce((sum, target) => sum + targetProcessors / target.slowness, 0)
+  }
+
+  #admit (job: ReplayJob, now: number): void {
+    const throughput = this.#estimateThroughput() * this.#efficiency.efficiency
+    const compare = this.#policy.model === undefined ? compareJobs : (a: ReplayJob, b: ReplayJob) => compareInOverload(a, b, now, this.#predictMs)
+    let workAhead = 0
+    for (const other of this.#queue) if (compare(other, job) <= 0) workAhead += other.waitingWork
+    const ownWorkMs = workAhead > 0 ? job.waitingWork / throughput : 0
+    const decision = decideAdmission({ workAhead, throughput }, this.#predictMs(job) + ownWorkMs, job.usefulUntil - now)
+    if (decision.kind === 'reject') {
+      this.tallies[job.priority]!.rejected++
+      return
+    }
+    job.predictedWaitMs = decision.waitMs
+    this.#queue.add(job)
+  }
+
+  #sort (now: number): ReplayJob[] {
+    return sortQueue([...this.#queue], now, this.#predictMs)
+  }
+
+  #maintain (now: number): void {
+    const throughput = this.#estimateThroughput()
+    const freeProcessors = this.#targets.reduce((sum, target) => sum + target.freeCapacity.processors, 0)
+    this.#efficiency.update(now, { queuedJobs: this.#queue.size, freeProcessors, usableProcessors: targetCount * targetProcessors, nominalThroughput: throughput })
+    this.#usualSlowness = computeUsualSlowness(this.#targets.map(target => target.slowness))
+    this.#policy.model?.expire(now)
+    for (const { job } of selectJobsToShed(this.#sort(now), other => other.waitingWork, throughput * this.#efficiency.efficiency, now, this.#predictMs)) {
+      this.#queue.delete(job)
+      this.tallies[job.priority]!.rejected++
+    }
+  }
+
+  #startTasks (now: number): void {
+    for (const job of this.#sort(now)) {
+      while (job.waiting > 0) {
+        const target = pickTarget(this.#targets, 's', job.step, () => 0, 1)
+        if (target === undefined) break
+        this.#startTask(job, target, now)
+      }
+      if (job.waiting === 0) this.#queue.delete(job)
+    }
+  }
+
+  #startTask (job: ReplayJob, target: ReplayTarget, now: number): void {
+    if (!job.started) this.tallies[job.priority]!.waitErrorMs += Math.abs(now - job.acceptedAt - job.predictedWaitMs)
+    job.waiting--
+    job.started = true
+    target.occupy(job.step.demand.processors)
+    const endAt = now + Math.round(job.taskMs[job.waiting]! * target.speed + job.latencyMs[job.waiting]!)
+    const runs = this.#ends.get(endAt) ?? []
+    runs.push({ job, target, sentAt: now })
+    this.#ends.set(endAt, runs)
+  }
+
+  #endRun ({ job, target, sentAt }: ReplayRun, now: number): void {
+    target.occupy(-job.step.demand.processors)
+    const { model } = this.#policy
+    const ratio = (now - sentAt) / job.remainingMs
+    model?.record(job.queue, target.info.id, ratio, target.slowness, this.#usualSlowness, now)
+    target.health.recordSuccess(ratio)
+    this.#efficiency.recordFinished(job.remainingMs * job.step.demand.processors)
+    if (--job.left > 0) return
+    const tally = this.tallies[job.priority]!
+    if (now <= job.objectiveAt) tally.onTime++
+    else if (now <= job.usefulUntil) tally.late++
+    else tally.useless++
+  }
+}
+
+/** Plays one load and returns the answers by queue. */
+export function playReplay (policy: ReplayPolicy, load: ReplayLoad, seed: number): readonly Tally[] {
+  return new Replay(policy, load, seed).play()
+}
+
+/** Creates a generator of numbers from 0 to 1 by the mulberry32 method. */
+function createRandom (seed: number): () => number {
+  let state = seed >>> 0
+  return () => {
+    state = (state + 0x6D2B79F5) >>> 0
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1)
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296
+  }
+}
