--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -123,7 +123,7 @@
     this.#state.removeJob(job)
     const retryAfterMs = Math.max(minRetryMs, Math.round(Math.min(waitMs, noTargetRetryMs)))
     this.#state.rejectJob(job, 'overloaded', retryAfterMs)
-    this.#state.log('job', 'job-rejected', { job: job.id, reason: 'waited-too-long', retryAfterMs, waitMs: Math.round(waitMs), waitedMs: Math.round(now - job.acceptedAt), usefulMs: Math.round(job.usefulUntil - now), queued: queue.size })
+    this.#state.log('job', 'job-rejected', { job: job.id, reason: 'waited-too-long', retryAfterMs, waitMs: Math.round(waitMs), waitedMs: Math.round(now - job.acceptedAt), usefulMs: Math.round(job.usefulUntil - now), queued: queue.size, ...this.#state.contention.describeInputs(job) })
   }
 
   #addJob (connection: OwnerConnection, job: DispatchedJob, evidence: ReleaseEvidence | undefined): void {
--- a/packages/fleet/test/dispatcher-fixture.ts
+++ b/packages/fleet/test/dispatcher-fixture.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from '@sesamereel/coordination'
-import { defaultFleetLimits, Dispatcher, type DispatcherMessage, type JobSpec, NoopLog, NoopMetrics, type PollReply, type PollRequest, type RunningEntry, type StartOrder, type StartReply, type StopOrder, type StopReply, TargetConnection, TargetConnector, type TargetInfo } from '../src/index.js'
+import { defaultFleetLimits, Dispatcher, type DispatcherMessage, type DispatcherOptions, type EndedEntry, type JobSpec, NoopLog, NoopMetrics, type PollReply, type PollRequest, type RunningEntry, type StartOrder, type StartReply, type StopOrder, type StopReply, TargetConnection, TargetConnector, type TargetInfo } from '../src/index.js'
 import { OwnerConnection } from '../src/owner-registry.js'
 
 const noAnswer = { kind: 'no-answer', message: 'no reply' } as const
@@ -15,6 +15,7 @@
   /** Latest end of a lease that an order or a poll has requested, on the target's clock. */
   leaseEndsAt = 0
   running: RunningEntry[] = []
+  ended: EndedEntry[] = []
   pollCount = 0
   bornMs = 1
   isReachable = true
@@ -28,6 +29,12 @@
   }
 }
 
+/** Ends all runs at a target with `done`. */
+export function endRuns (target: FakeTarget): void {
+  for (const { task, attempt } of target.running) target.ended.push({ number: target.ended.length + 1, task, attempt, how: 'done' })
+  target.running = []
+}
+
 class FakeTargetConnection extends TargetConnection {
   readonly #target: FakeTarget
   readonly #clock: ManualClock
@@ -60,7 +67,7 @@
     const { startedAt, bornMs } = this.#target
     const running = this.#target.running.map(entry => ({ ...entry, percent: Math.min(99, entry.percent + 1) }))
     this.#target.running = running
-    return { kind: 'view', view: { clockMs: Math.floor(this.#clock.now() - startedAt), bornMs, running: [...running], ended: [] } }
+    return { kind: 'view', view: { clockMs: Math.floor(this.#clock.now() - startedAt), bornMs, running: [...running], ended: this.#target.ended.filter(end => end.number > request.lastSeenEnd) } }
   }
 
   override close (): void {}
@@ -101,7 +108,7 @@
 }
 
 /** A dispatcher with a complete list of targets, on a manual clock. */
-export function createDispatcher (clock: ManualClock, targets: readonly FakeTarget[], measureListAgeMs = (): number => 0): Dispatcher {
+export function createDispatcher (clock: ManualClock, targets: readonly FakeTarget[], measureListAgeMs = (): number => 0, options: Partial<DispatcherOptions> = {}): Dispatcher {
   return new Dispatcher({
     domain: 'a',
     token: 16,
@@ -113,7 +120,8 @@
     remoteFactor: 1,
     isListComplete: () => true,
     measureListAgeMs,
-    onSuperseded: () => {}
+    onSuperseded: () => {},
+    ...options
   })
 }
 
