--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -10,6 +10,7 @@
 import { type LoadSummary, type OwnerMessage } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
 import { startPeriodicTimer } from './periodic-timer.js'
+import { type LearnedRunTime } from './run-time-model.js'
 import { RunTracker } from './run-tracker.js'
 import { TargetSession } from './target-session.js'
 import { type TargetConnector, type TargetInfo } from './target-types.js'
@@ -51,6 +52,8 @@
   readonly measureListAgeMs: () => number
   /** Cancelled jobs, shared with the owner of this process; by default a list of the dispatcher's own. */
   readonly cancelled?: CancelledJobs
+  /** Whether the operator's configuration has queues of several priorities for a service; never if absent. */
+  readonly isContended?: (service: string) => boolean
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: () => void
 }
@@ -82,7 +85,7 @@
     this.#options = options
     this.#token = options.token
     this.#startedAt = options.clock.now()
-    this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics)
+    this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics, options.isContended)
     this.#intake = new JobIntake(this.#state)
     this.#cancellations = new CancellationIntake(this.#state, options.cancelled ?? new CancelledJobs())
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
@@ -107,6 +110,11 @@
     return now - oldest
   }
 
+  /** @returns the learned run times of the queues that compete for targets */
+  listRunTimes (): readonly LearnedRunTime[] {
+    return this.#state.contention.listRunTimes()
+  }
+
   /** @returns the sessions of all targets */
   listSessions (): readonly TargetSession[] {
     return [...this.#state.sessions.values()]
@@ -327,6 +335,7 @@
     this.#state.processingDelay.recordTick(now)
     this.#state.measureEfficiency()
     this.#cancellations.check(now)
+    this.#state.contention.update(this.#state.sessions.values(), now)
     this.#intake.shedQueuedJobs(now)
     this.#tracker.pollStaleTargets(now)
     this.#dropUnlistedTargets()
--- a/packages/fleet/src/load-estimates.ts
+++ b/packages/fleet/src/load-estimates.ts
@@ -35,16 +35,32 @@
   return processors
 }
 
+/**
+ * Quantile of the targets' slowness that counts as usual: below a half, so that of two speeds in equal numbers the
+ * faster counts, which placement prefers; not much lower, as a few targets may fail fast or lie.
+ */
+const usualQuantile = 0.4
+
+/**
+ * Computes the usual slowness of targets, for predictions of how fast a task can be.
+ *
+ * @returns 1 without targets
+ */
+export function computeUsualSlowness (slowness: readonly number[]): number {
+  return [...slowness].sort((a, b) => a - b)[Math.floor(slowness.length * usualQuantile)] ?? 1
+}
+
 /**
  * Estimates the load that comes before a job in the queue.
  *
  * @param queue - jobs with waiting tasks
  * @param throughput - work that the targets complete per millisecond, in thousandths of a core
+ * @param compare - orders two jobs by when they start
  */
-export function estimateLoad (queue: Iterable<DispatchedJob>, throughput: number, job: DispatchedJob): LoadEstimate {
+export function estimateLoad (queue: Iterable<DispatchedJob>, throughput: number, job: DispatchedJob, compare: (a: DispatchedJob, b: DispatchedJob) => number = compareJobs): LoadEstimate {
   let work = 0
   for (const other of queue) {
-    if (other.spec.service === job.spec.service && compareJobs(other, job) <= 0) work += sumWaitingWork(other)
+    if (other.spec.service === job.spec.service && compare(other, job) <= 0) work += sumWaitingWork(other)
   }
   return { workAhead: work, throughput }
 }
