Drain of a failure domain: requests, state, dispatcher and owners

For each domain the evidence with the highest store revision counts; only a list shows the absence of a row, as a watch may miss a change. The state goes with hello, welcome, heartbeat and heartbeat-reply. A dispatcher of a drained domain admits nothing, returns queued jobs as not run (reason draining), and starts tasks of started jobs until evacuate_ms less 1 s after its instance requested its newest list without the row; after that a started job without a run ends as unknown. A new dispatcher waits for the state, at most 300 ms. Owners exclude drained domains. The field bounds.evacuate_ms enables all of it; a list that is due is then sent beside a waiting watch call.

--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -1,6 +1,7 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type ConfigurationRelay } from './configuration-relay.js'
 import { type Directory, type InstanceEntry, tokensPerRevision } from './directory.js'
+import { type DomainDrains } from './domain-drains.js'
 import { type EventLog } from './event-log.js'
 import { LingeringList } from './lingering-list.js'
 import { type DispatcherMessage, type HeartbeatMessage, type LoadSummary, type OwnerMessage } from './messages.js'
@@ -71,6 +72,8 @@
   readonly connector: PeerConnector
   readonly local: LocalDispatcherRegistry
   readonly relay: ConfigurationRelay
+  /** State of the drains that is exchanged with the dispatcher; undefined for none. */
+  readonly drains?: DomainDrains
   readonly clock: Clock
   readonly log: EventLog
   readonly observer: DispatcherConnectionObserver
@@ -265,7 +268,7 @@
   #createHello (): OwnerMessage {
     const { self, domain } = this.#options
     this.#streamCount++
-    return { type: 'hello', instance: self.instance, incarnation: self.incarnation, domain, sequence: this.#streamCount, expectsList: true }
+    return { type: 'hello', instance: self.instance, incarnation: self.incarnation, domain, sequence: this.#streamCount, expectsList: true, ...this.#options.drains?.describe() }
   }
 
   /** @returns whether this process has a dispatcher of the domain */
@@ -313,6 +316,7 @@
   #handleMessage (message: DispatcherMessage, endpoint: Endpoint): void {
     this.#lastMessageAt = this.#options.clock.now()
     if (this.#connected) this.#observedMs = 0
+    if (message.type === 'welcome' || message.type === 'heartbeat') this.#options.drains?.receive(message, endpoint.instance)
     switch (message.type) {
       case 'stopped': this.#previousHasEnded = true; return
       case 'welcome':
@@ -359,7 +363,7 @@
 
   /** Answers at once: the dispatcher keeps runs alive only for owners that it knows to live. */
   #replyToHeartbeat (heardSentAt: number): void {
-    this.send({ type: 'heartbeat-reply', configurationVersion: this.#options.relay.version, heardSentAt })
+    this.send({ type: 'heartbeat-reply', configurationVersion: this.#options.relay.version, heardSentAt, ...this.#options.drains?.describe() })
   }
 
   #handleLoad (message: HeartbeatMessage | Extract<DispatcherMessage, { type: 'pong' }>): void {
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -1,6 +1,7 @@
 import { type Clock, Mailbox } from '@sesamereel/coordination'
 import { DispatchState, maintenanceIntervalMs, type ReleaseEvidence } from './dispatch-state.js'
 import { type DispatchedJob } from './dispatched-job.js'
+import { DrainDispatch, type DispatcherDrains } from './drain-dispatch.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
 import { JobIntake } from './job-intake.js'
@@ -47,6 +48,8 @@
   readonly isListComplete: () => boolean
   /** Returns the milliseconds since the list of targets was last known to be current. */
   readonly measureListAgeMs: () => number
+  /** The drains of domains; undefined if domains can't be drained. */
+  readonly drains?: DispatcherDrains
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: () => void
 }
@@ -59,6 +62,7 @@
 export class Dispatcher {
   readonly #options: DispatcherOptions
   readonly #state: DispatchState
+  readonly #drain: DrainDispatch
   readonly #intake: JobIntake
   readonly #tracker: RunTracker
   readonly #scheduler: TaskScheduler
@@ -78,7 +82,8 @@
     this.#token = options.token
     this.#startedAt = options.clock.now()
     this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics)
-    this.#intake = new JobIntake(this.#state)
+    this.#drain = new DrainDispatch(this.#state, options.domain, options.drains, () => { this.#mailbox.schedule() })
+    this.#intake = new JobIntake(this.#state, this.#drain)
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
     this.#tracker = new RunTracker(this.#state, options.limits.lateOrderMs, {
       onChange: () => { this.#mailbox.schedule() },
@@ -116,6 +121,7 @@
     if (this.#stopped) return
     this.#stopped = true
     this.#cancelMaintenance()
+    this.#drain.close()
     this.#mailbox.stop()
     for (const session of this.#state.sessions.values()) session.close()
   }
@@ -146,7 +152,7 @@
   addOwner (connection: OwnerConnection, lingering?: readonly string[]): void {
     const sentAt = this.#state.readElapsed()
     this.#state.owners.add(connection, sentAt)
-    connection.send({ type: 'welcome', token: this.#token, sentAt, ...(lingering === undefined ? {} : { lingering }) })
+    connection.send({ type: 'welcome', token: this.#token, sentAt, ...(lingering === undefined ? {} : { lingering }), ...this.#options.drains?.state.describe() })
   }
 
   /** Handles the end of an owner's connection. Its jobs are kept for a while in case it reconnects. */
@@ -163,7 +169,8 @@
 
   /** @returns the load summary that is sent to the owners */
   summarizeLoad (): LoadSummary {
-    return this.#state.summarizeLoad()
+    const load = this.#state.summarizeLoad()
+    return this.#drain.isDrained ? { ...load, runs: this.#drain.countRuns() } : load
   }
 
   /**
@@ -217,7 +224,8 @@
   #onMessagesHandled (): void {
     if (this.#stopped) return
     this.#releaseUnlocatedJobs()
-    if (!this.#startsPaused && !this.#awaitsList()) this.#scheduler.startTasks()
+    const mayStart = this.#drain.settleJobs()
+    if (mayStart && !this.#startsPaused && !this.#awaitsList()) this.#scheduler.startTasks()
     this.#state.reportProgress()
   }
 
--- /dev/null
+++ b/packages/fleet/src/drain-dispatch.ts
@@ -0,0 +1,147 @@
+import { type DispatchState } from './dispatch-state.js'
+import { type DispatchedJob } from './dispatched-job.js'
+import { type DomainDrains, drainMarginMs, DrainObserver } from './domain-drains.js'
+import { decideStartRule, type StartRule } from './drained-starts.js'
+
+/** Retry delay in milliseconds of a job that is rejected because its domain is drained. */
+export const drainedRetryMs = 1_000
+
+/** Longest time in milliseconds for which a new dispatcher waits for the state of the drains; the store may be away. */
+const maxStateWaitMs = 300
+
+/**
+ * Time in milliseconds after which a new dispatcher knows all runs of an earlier one, or they have ended: 2.3 s after the
+ * loss of a dispatcher that may still run behind a network partition.
+ */
+const runDiscoveryMs = 2_500
+
+/** Access of one dispatcher to the drains of its instance. */
+export interface DispatcherDrains {
+  readonly state: DomainDrains
+  /** Requests a new list of the drains from the store. */
+  readonly read: () => void
+}
+
+/** Carries out the drain of one dispatcher's domain: which tasks may start, and which jobs are returned or ended. */
+export class DrainDispatch extends DrainObserver {
+  readonly #state: DispatchState
+  readonly #domain: string
+  readonly #drains: DomainDrains | undefined
+  readonly #onChange: () => void
+  readonly #startedElapsed: number
+  /** Whether this dispatcher has been allowed to start tasks. */
+  #hasBegun = false
+  #beganDrained = false
+  /** Whether the present drain was noticed, and whether its end of all runs was logged. */
+  #isNoticed = false
+  #isEmptyLogged = false
+
+  /**
+   * @param drains - undefined if domains can't be drained
+   * @param onChange - called when the domain may have been drained, or its drain withdrawn
+   */
+  constructor (state: DispatchState, domain: string, drains: DispatcherDrains | undefined, onChange: () => void) {
+    super()
+    this.#state = state
+    this.#domain = domain
+    this.#drains = drains?.state.isEnabled === true ? drains.state : undefined
+    this.#onChange = onChange
+    this.#startedElapsed = state.readElapsed()
+    this.#drains?.addObserver(this)
+    if (this.#drains !== undefined) drains?.read()
+  }
+
+  get isDrained (): boolean { return this.#drains?.isDrained(this.#domain) === true }
+
+  /** Revision of the row that requests the drain; undefined if the domain is not drained. */
+  get revision (): number | undefined { return this.#drains?.findRevision(this.#domain) }
+
+  override onDrainsChanged (): void {
+    this.#onChange()
+  }
+
+  close (): void {
+    this.#drains?.removeObserver(this)
+  }
+
+  /** @returns the number of runs that exist or may exist at the targets */
+  countRuns (): number {
+    return [...this.#state.sessions.values()].reduce((sum, session) => sum + session.runs.size, 0)
+  }
+
+  /**
+   * Applies the drain before a round of starts: returns queued jobs that have not started to their owners, and ends started
+   * jobs whose remaining tasks may not start any more. What stays in the queue may start.
+   *
+   * @returns whether tasks may start
+   */
+  settleJobs (): boolean {
+    if (this.#drains === undefined) return true
+    if (!this.#hasBegun) {
+      if (this.#awaitsState(this.#drains)) return false
+      this.#hasBegun = true
+      this.#beganDrained = this.isDrained
+    }
+    const rule = this.#decideRule(this.#drains)
+    if (rule.kind === 'all') {
+      this.#isNoticed = false
+      this.#isEmptyLogged = false
+      this.#beganDrained = false
+      return true
+    }
+    if (!this.#isNoticed) this.#logLimit(this.#drains, rule)
+    this.#isNoticed = true
+    for (const job of [...this.#state.queue]) {
+      if (!job.started) this.#returnJob(job)
+      else if (rule.kind === 'none') this.#endIfIdle(job, this.#drains)
+    }
+    this.#logIfEmpty()
+    return rule.kind === 'started-jobs'
+  }
+
+  /** @returns whether this dispatcher is new and has neither read the state nor received it from a peer since it began */
+  #awaitsState (drains: DomainDrains): boolean {
+    return !drains.hasStateSince(this.#startedElapsed) && this.#state.readElapsed() - this.#startedElapsed < maxStateWaitMs
+  }
+
+  #decideRule (drains: DomainDrains): StartRule {
+    return decideStartRule({ isDrained: this.isDrained, beganDrained: this.#beganDrained, absentAt: drains.getAbsentAt(this.#domain), now: this.#state.readElapsed(), evacuateMs: drains.evacuateMs, marginMs: drainMarginMs })
+  }
+
+  #returnJob (job: DispatchedJob): void {
+    this.#state.removeJob(job)
+    this.#state.rejectJob(job, 'draining', drainedRetryMs)
+    this.#state.metrics.countDrainedJob('returned')
+    this.#state.log('job', 'job-rejected', { job: job.id, reason: 'draining', retryAfterMs: drainedRetryMs, revision: this.revision, waitedMs: Math.round(this.#state.now() - job.acceptedAt), queued: this.#state.queue.size })
+  }
+
+  /** Ends a started job that has no run. It may have run, so that it is not returned to its owner. */
+  #endIfIdle (job: DispatchedJob, drains: DomainDrains): void {
+    if (job.tasks.some(task => task.state === 'running' || task.state === 'unlocated')) return
+    const waiting = job.tasks.filter(task => task.state === 'waiting').length
+    this.#state.metrics.countDrainedJob('ended')
+    this.#state.log('job', 'drained-job-given-up', { job: job.id, waiting, done: job.tasks.length - waiting, revision: this.revision, absentMsAgo: this.#measureAbsentMs(drains), ageMs: Math.round(this.#state.now() - job.acceptedAt) })
+    this.#state.endJob(job, { kind: 'unknown', reason: 'draining' })
+  }
+
+  #logLimit (drains: DomainDrains, rule: StartRule): void {
+    const { queue, jobs } = this.#state
+    const startsForMs = rule.kind === 'started-jobs' ? Math.round(rule.untilElapsed - this.#state.readElapsed()) : 0
+    this.#state.log('belief', 'drained-starts-limited', { domain: this.#domain, revision: this.revision, absentMsAgo: this.#measureAbsentMs(drains), startsForMs, beganDrained: this.#beganDrained, jobs: jobs.size, queued: queue.size, runs: this.countRuns() })
+  }
+
+  /** Logs once that no run is left, when all runs of an earlier dispatcher are known and no task may start any more. */
+  #logIfEmpty (): void {
+    const { jobs, sessions } = this.#state
+    if (this.#isEmptyLogged || jobs.size > 0 || this.countRuns() > 0) return
+    const drainingMs = this.#state.readElapsed() - this.#startedElapsed
+    if (drainingMs < runDiscoveryMs && ![...sessions.values()].every(session => session.isSeen)) return
+    this.#isEmptyLogged = true
+    this.#state.log('belief', 'domain-drained', { domain: this.#domain, revision: this.revision, targets: sessions.size, dispatchingMs: Math.round(drainingMs) })
+  }
+
+  #measureAbsentMs (drains: DomainDrains): number | undefined {
+    const absentMsAgo = this.#state.readElapsed() - drains.getAbsentAt(this.#domain)
+    return Number.isFinite(absentMsAgo) ? Math.round(absentMsAgo) : undefined
+  }
+}
--- a/packages/fleet/src/fleet-metrics.ts
+++ b/packages/fleet/src/fleet-metrics.ts
@@ -25,6 +25,8 @@
    * @param actualMs - time in milliseconds until the start
    */
   abstract observeQueueWait (predictedMs: number, actualMs: number): void
+  /** Counts a job that a drained domain does not run: `rejected` at submission, `returned` from the queue, or `ended` after its start. */
+  abstract countDrainedJob (outcome: 'rejected' | 'returned' | 'ended'): void
   /** Counts an answer to a caller; `reason` is empty for a completed job. */
   abstract countAnswer (outcome: string, reason: string, durationMs: number): void
 }
@@ -39,5 +41,6 @@
   override countTargetLoss (): void {}
   override countSuperseded (): void {}
   override observeQueueWait (): void {}
+  override countDrainedJob (): void {}
   override countAnswer (): void {}
 }
--- a/packages/fleet/src/fleet-status.ts
+++ b/packages/fleet/src/fleet-status.ts
@@ -1,4 +1,5 @@
 import { type Dispatcher } from './dispatcher.js'
+import { type DomainDrains, type IgnoredDrainRow } from './domain-drains.js'
 import { type DispatcherConnection } from './dispatcher-connection.js'
 import { type JobOwner } from './job-owner.js'
 import { type OwnerServer } from './owner-server.js'
@@ -30,6 +31,12 @@
   readonly freeProcessors: number | undefined
   /** Processors at usable targets, in thousandths of a core. */
   readonly usableProcessors: number | undefined
+  /** Whether the domain's drain is requested, as far as this instance knows. */
+  readonly drained: boolean
+  /** Revision of the row that requests it. */
+  readonly drainRevision: number | undefined
+  /** Number of runs that exist or may exist in a drained domain, by its dispatcher's last heartbeat. */
+  readonly runsLeft: number | undefined
 }
 
 /** State of a dispatcher that runs in the instance itself. */
@@ -49,6 +56,8 @@
   readonly domains: readonly DomainStatus[]
   /** Dispatchers that run in the instance itself. */
   readonly dispatchers: readonly DispatcherStatus[]
+  /** Rows that request the drain of a domain and have no effect. */
+  readonly ignoredDrains: readonly IgnoredDrainRow[]
 }
 
 /** Counts a dispatcher's targets by state. */
@@ -64,23 +73,24 @@
 }
 
 /** Builds the status report of one instance. */
-export function describeFleet (instance: string, configurationVersion: number, owner: JobOwner, server: OwnerServer, connections: readonly DispatcherConnection[]): FleetStatus {
+export function describeFleet (instance: string, configurationVersion: number, owner: JobOwner, server: OwnerServer, connections: readonly DispatcherConnection[], drains: DomainDrains): FleetStatus {
   return {
     instance,
     openJobs: owner.jobCount,
     configurationVersion,
-    domains: connections.map(describeDomain),
+    domains: connections.map(connection => describeDomain(connection, drains)),
     dispatchers: server.listDispatchers().map(dispatcher => ({
       domain: dispatcher.domain,
       token: dispatcher.token,
       queuedJobs: dispatcher.queueLength,
       queueAgeMs: Math.round(dispatcher.measureQueueAgeMs()),
       ...countTargets(dispatcher)
-    }))
+    })),
+    ignoredDrains: drains.listIgnored()
   }
 }
 
-function describeDomain (connection: DispatcherConnection): DomainStatus {
+function describeDomain (connection: DispatcherConnection, drains: DomainDrains): DomainStatus {
   const { load } = connection
   return {
     domain: connection.domain,
@@ -90,6 +100,9 @@
     queuedJobs: load?.queuedJobs,
     predictedWaitMs: load?.waitMs,
     freeProcessors: load?.freeProcessors,
-    usableProcessors: load?.usableProcessors
+    usableProcessors: load?.usableProcessors,
+    drained: drains.isDrained(connection.domain),
+    drainRevision: drains.findRevision(connection.domain),
+    runsLeft: load?.runs
   }
 }
--- a/packages/fleet/src/heartbeat-source.ts
+++ b/packages/fleet/src/heartbeat-source.ts
@@ -43,7 +43,7 @@
 
   /** @returns the heartbeat that was built last, for an owner that has not received the list yet */
   completeForNewOwner (heartbeat: HeartbeatMessage): HeartbeatMessage {
-    const { type, sentAt, load, configurationVersion } = heartbeat
-    return { type, sentAt, load, configurationVersion, lingering: [...this.#lingering] }
+    const { lingeringAdded, lingeringRemoved, ...others } = heartbeat
+    return { ...others, lingering: [...this.#lingering] }
   }
 }
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -1,6 +1,7 @@
 import { decideAdmission, selectJobsToShed } from './admission.js'
 import { type DispatchState, type ReleaseEvidence } from './dispatch-state.js'
 import { DispatchedJob } from './dispatched-job.js'
+import { type DrainDispatch, drainedRetryMs } from './drain-dispatch.js'
 import { type JobOutcome, type RejectionReason } from './job-types.js'
 import { estimateLoad, sumWaitingWork } from './load-estimates.js'
 import { LossTracker } from './loss-tracker.js'
@@ -27,10 +28,12 @@
 export class JobIntake {
   readonly #state: DispatchState
   readonly #lossTracker: LossTracker
+  readonly #drain: DrainDispatch
   #closed = false
 
-  constructor (state: DispatchState) {
+  constructor (state: DispatchState, drain: DrainDispatch) {
     this.#state = state
+    this.#drain = drain
     this.#lossTracker = new LossTracker(state)
   }
 
@@ -238,6 +241,7 @@
    */
   #rejectUnlessAdmitted (job: DispatchedJob): boolean {
     if (this.#closed) return this.#reject(job, 'stopping', minRetryMs, {})
+    if (this.#drain.isDrained) return this.#rejectDrained(job)
     const { sessions, queue } = this.#state
     const problem = this.#findPlacementProblem(job)
     if (problem !== undefined) return this.#reject(job, problem, noTargetRetryMs, { targets: sessions.size })
@@ -255,6 +259,11 @@
     return false
   }
 
+  #rejectDrained (job: DispatchedJob): true {
+    this.#state.metrics.countDrainedJob('rejected')
+    return this.#reject(job, 'draining', drainedRetryMs, { revision: this.#drain.revision ?? 0 })
+  }
+
   #findPlacementProblem (job: DispatchedJob): RejectionReason | undefined {
     const targets = [...this.#state.sessions.values()].map(session => session.info).filter(info => info.service === job.spec.service)
     if (targets.length === 0) return 'no-target'
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -1,6 +1,8 @@
 import { type Clock } from '@sesamereel/coordination'
 import { canStartAtOnce, chooseDomain } from './domain-choice.js'
+import { type DomainDrains } from './domain-drains.js'
 import { type DispatcherConnection, DispatcherConnectionObserver, lostDispatcherRunExpiryMs } from './dispatcher-connection.js'
+import { drainedRetryMs } from './drain-dispatch.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
 import { type JobSpec, type RejectionReason } from './job-types.js'
@@ -40,6 +42,8 @@
   readonly limits: FleetLimits
   readonly log: EventLog
   readonly metrics: FleetMetrics
+  /** The drained domains, which get no new jobs; undefined if domains can't be drained. */
+  readonly drains?: DomainDrains
 }
 
 /**
@@ -206,17 +210,28 @@
       return
     }
     const options = [...this.#connections.values()]
-      .filter(connection => connection.isConnected)
+      .filter(connection => connection.isConnected && !this.#isDrained(connection))
       .filter(connection => !job.rejectedBy.has(connection.domain))
       .map(connection => ({ domain: connection.domain, load: connection.load, isHome: connection.domain === this.#options.homeDomain }))
     const chosen = chooseDomain(options, job.demand)?.domain
     if (chosen === undefined) {
-      if (job.rejectedBy.size > 0) this.#answerJob(job, createRejection(job, 'overloaded'))
+      if (this.#isOnlyDrainedConnected()) this.#answerJob(job, createDrainedRejection(job))
+      else if (job.rejectedBy.size > 0) this.#answerJob(job, createRejection(job, 'overloaded'))
       return
     }
     this.#submitTo(job, this.#connections.get(chosen)!, job.mayHaveStarted)
   }
 
+  #isDrained ({ domain }: DispatcherConnection): boolean {
+    return this.#options.drains?.isDrained(domain) === true
+  }
+
+  /** @returns whether dispatchers are connected, all of drained domains */
+  #isOnlyDrainedConnected (): boolean {
+    const connected = [...this.#connections.values()].filter(connection => connection.isConnected)
+    return connected.length > 0 && connected.every(connection => this.#isDrained(connection))
+  }
+
   /** @returns the connection to a dispatcher that lists the job, or that did so before it was lost; a connected one first */
   #findHolder (job: OwnedJob): DispatcherConnection | undefined {
     const holders = [...this.#connections.values()].filter(({ domain }) => !job.rejectedBy.has(domain)).filter(connection => connection.isLingering(job.spec.id))
@@ -246,14 +261,17 @@
     job.location = { kind: 'none' }
     job.rejectedBy.add(connection.domain)
     job.retryAfterMs = job.rejectedBy.size === 1 ? retryAfterMs : Math.min(job.retryAfterMs, retryAfterMs)
-    const others = [...this.#connections.values()].filter(other => other.isConnected && !job.rejectedBy.has(other.domain))
+    const others = [...this.#connections.values()].filter(other => other.isConnected && !job.rejectedBy.has(other.domain) && !this.#isDrained(other))
     const now = this.#options.clock.now()
     const isWorthwhile = reason !== 'overloaded' || others.some(other => (other.load?.waitMs ?? 0) < job.spec.usefulMs - (now - job.acceptedAt))
     if (others.length > 0 && isWorthwhile) {
       this.#assignDispatcher(job)
       return
     }
-    if (reason === 'fits-no-target' && !job.mayHaveStarted) this.#answerJob(job, { kind: 'failed', reason })
+    const isDrainedDomainUntried = [...this.#connections.values()].some(other => other.isConnected && this.#isDrained(other))
+    // A target of a drained domain may fit the job.
+    if (reason === 'draining' || (isDrainedDomainUntried && reason === 'fits-no-target')) this.#answerJob(job, createDrainedRejection(job))
+    else if (reason === 'fits-no-target' && !job.mayHaveStarted) this.#answerJob(job, { kind: 'failed', reason })
     else this.#answerJob(job, createRejection(job, reason))
   }
 
@@ -262,12 +280,13 @@
     if (job === undefined || job.location.kind !== 'withdrawing') return
     const to = this.#connections.get(job.location.destination)
     job.location = { kind: 'none' }
-    if (to?.isConnected === true) this.#submitTo(job, to, false)
+    if (to?.isConnected === true && !this.#isDrained(to)) this.#submitTo(job, to, false)
     else this.#assignDispatcher(job)
   }
 
   /** Withdraws jobs that wait in other domains so that they can move to a domain with free capacity. */
   #moveWaitingJobs (to: DispatcherConnection, load: LoadSummary): void {
+    if (this.#isDrained(to)) return
     const now = this.#options.clock.now()
     let free = load.freeProcessors / 2
     for (const job of this.#jobs.values()) {
@@ -377,6 +396,11 @@
   return job.mayHaveStarted ? { kind: 'unknown', reason } : { kind: 'rejected', reason, retryAfterMs: job.retryAfterMs }
 }
 
+/** Builds the answer to a job that no domain takes because domains are drained; no target serves it for now. */
+function createDrainedRejection (job: OwnedJob): JobAnswer {
+  return job.mayHaveStarted ? { kind: 'unknown', reason: 'no-target' } : { kind: 'rejected', reason: 'no-target', retryAfterMs: drainedRetryMs }
+}
+
 function roundOptional (value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value)
 }
--- a/packages/fleet/src/job-types.ts
+++ b/packages/fleet/src/job-types.ts
@@ -38,11 +38,11 @@
 export type JobOutcome =
   | { readonly kind: 'completed' }
   | { readonly kind: 'failed', readonly reason: 'attempts-used' | 'fits-no-target' | 'cancelled' | 'targets-lost' }
-  /** Tasks may have started, and the job is not continued for this owner; `repeated-elsewhere`: its caller has sent it again through another instance. */
-  | { readonly kind: 'unknown', readonly reason: 'start-unconfirmed' | 'repeated-elsewhere' }
+  /** Tasks may have started, and the job is not continued for this owner; `repeated-elsewhere`: its caller has sent it again through another instance; `draining`: its remaining tasks may not start, as the domain is drained. */
+  | { readonly kind: 'unknown', readonly reason: 'start-unconfirmed' | 'repeated-elsewhere' | 'draining' }
 
 /** Reason why a dispatcher rejected a job. */
-export type RejectionReason = 'overloaded' | 'not-dispatching' | 'stopping' | 'no-target' | 'fits-no-target'
+export type RejectionReason = 'overloaded' | 'not-dispatching' | 'stopping' | 'no-target' | 'fits-no-target' | 'draining'
 
 /** Parts of a task's name, which identifies the task in the orders to targets. */
 export interface TaskName {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,3 +1,4 @@
+import { type DrainCarrier } from './domain-drains.js'
 import { type JobOutcome, type JobSpec, type RejectionReason } from './job-types.js'
 import { type TaskLosses } from './target-losses.js'
 
@@ -34,6 +35,8 @@
   readonly queuedJobs: number
   /** Processors of the largest task that a target could start now, in thousandths of a core. */
   readonly largestFree: number
+  /** Number of runs that exist or may exist at the targets, while the domain is drained. */
+  readonly runs?: number
 }
 
 /** Messages from an owner to a dispatcher. */
@@ -42,9 +45,9 @@
    * `sequence` rises with each connection that the owner opens to the domain; `expectsList` asks for the list of
    * lingering jobs in the welcome. Earlier versions omit both.
    */
-  | { readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number, readonly expectsList?: boolean }
+  | ({ readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number, readonly expectsList?: boolean } & DrainCarrier)
   /** Answers a heartbeat, or the welcome; `heardSentAt` is its `sentAt`. */
-  | { readonly type: 'heartbeat-reply', readonly configurationVersion: number, readonly heardSentAt: number }
+  | ({ readonly type: 'heartbeat-reply', readonly configurationVersion: number, readonly heardSentAt: number } & DrainCarrier)
   /** Asks a dispatcher that has been silent for a pong. `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
   | { readonly type: 'ping', readonly configurationVersion: number, readonly heardSentAt?: number }
   | ({ readonly type: 'submit' } & Submission)
@@ -57,7 +60,7 @@
   | { readonly type: 'configuration-request' }
 
 /** Periodic message of a dispatcher to all its owners, who answer it at once. */
-export interface HeartbeatMessage {
+export interface HeartbeatMessage extends DrainCarrier {
   readonly type: 'heartbeat'
   /** The dispatcher's time in milliseconds, by its monotonic clock plus all suspensions of its machine. */
   readonly sentAt: number
@@ -77,7 +80,7 @@
    * `sentAt` is the dispatcher's time, as in a heartbeat. `lingering` holds the ids of all jobs that a
    * resubmission may concern; the next heartbeat carries the changes. Earlier versions omit both.
    */
-  | { readonly type: 'welcome', readonly token: number, readonly sentAt?: number, readonly lingering?: readonly string[] }
+  | ({ readonly type: 'welcome', readonly token: number, readonly sentAt?: number, readonly lingering?: readonly string[] } & DrainCarrier)
   /** The dispatcher has stopped: it sends no more orders and renews no leases. */
   | { readonly type: 'stopped' }
   | { readonly type: 'not-dispatching', readonly incarnation: string }
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -2,6 +2,7 @@
 import { type ConfigurationRelay } from './configuration-relay.js'
 import { type Dispatcher } from './dispatcher.js'
 import { LocalDispatcherRegistry } from './dispatcher-connection.js'
+import { type DomainDrains } from './domain-drains.js'
 import { HeartbeatSource } from './heartbeat-source.js'
 import { type DispatcherMessage, type OwnerMessage } from './messages.js'
 import { OwnerConnection } from './owner-registry.js'
@@ -65,6 +66,7 @@
   readonly #incarnation: string
   readonly #clock: Clock
   readonly #relay: ConfigurationRelay
+  readonly #drains: DomainDrains | undefined
   readonly #dispatchers = new Map<string, Dispatcher>()
   readonly #heartbeats = new Map<string, HeartbeatSource>()
   /** Connections with the domain of their dispatcher. */
@@ -73,11 +75,13 @@
   #lastHeartbeatAt = -Infinity
   #checkedAt: number
 
-  constructor (incarnation: string, clock: Clock, relay: ConfigurationRelay) {
+  /** @param drains - state of the drains that is exchanged with the owners; undefined for none */
+  constructor (incarnation: string, clock: Clock, relay: ConfigurationRelay, drains?: DomainDrains) {
     super()
     this.#incarnation = incarnation
     this.#clock = clock
     this.#relay = relay
+    this.#drains = drains
     this.#checkedAt = clock.now()
     this.#cancelTimers = [
       startPeriodicTimer(clock, timeoutCheckIntervalMs, () => { this.#closeSilentConnections() }),
@@ -181,6 +185,7 @@
   }
 
   #acceptHello (hello: HelloMessage, stream: PeerStream): StreamConnection | undefined {
+    this.#drains?.receive(hello, hello.instance)
     const dispatcher = this.#dispatchers.get(hello.domain)
     if (dispatcher === undefined) {
       stream.send({ type: 'not-dispatching', incarnation: this.#incarnation } satisfies DispatcherMessage)
@@ -206,6 +211,7 @@
       this.#sendConfiguration(connection)
       return
     }
+    if (message.type === 'heartbeat-reply') this.#drains?.receive(message, connection.instance)
     dispatcher.enqueueMessage(connection, message)
     if (message.type === 'ping') this.#sendPong(connection, dispatcher)
     if (message.type !== 'ping' && message.type !== 'heartbeat-reply') return
@@ -221,7 +227,7 @@
   }
 
   #sendHeartbeat (domain: string, source: HeartbeatSource): void {
-    const heartbeat = source.createNext(this.#clock.readElapsed(), this.#relay.version)
+    const heartbeat = { ...source.createNext(this.#clock.readElapsed(), this.#relay.version), ...this.#drains?.describe() }
     for (const [connection, connectedDomain] of this.#connections) {
       if (connectedDomain !== domain) continue
       connection.send(connection.hasList ? heartbeat : source.completeForNewOwner(heartbeat))
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -17,6 +17,7 @@
   readonly #secondRuns = this.#createCounter('second_runs_total', 'Runs that a target listed while another run of their task might exist', [])
   readonly #releasedTasks = this.#createCounter('released_tasks_total', 'Tasks that may start again after a takeover, by the evidence that their earlier runs have ended', ['evidence'])
   readonly #targetLosses = this.#createCounter('target_losses_total', 'Losses of a target under a task, by the evidence and by whether other jobs had tasks there', ['evidence', 'alone'])
+  readonly #drainedJobs = this.#createCounter('drained_jobs_total', 'Jobs that a drained domain did not run, by what happened to them', ['outcome'])
   readonly #waitSeconds = this.#createHistogram('wait_seconds', 'Time from acceptance to the first start, as predicted at admission and as measured', ['kind'])
   readonly #answerSeconds = this.#createHistogram('answer_seconds', 'Time from acceptance of a job to the answer to its caller', ['outcome'])
 
@@ -54,6 +55,10 @@
     this.#waitSeconds.observe({ kind: 'real' }, actualMs / 1_000)
   }
 
+  override countDrainedJob (outcome: 'rejected' | 'returned' | 'ended'): void {
+    this.#drainedJobs.inc({ outcome })
+  }
+
   override countAnswer (outcome: string, reason: string, durationMs: number): void {
     this.#answers.inc({ outcome, reason })
     this.#answerSeconds.observe({ outcome }, durationMs / 1_000)
--- a/packages/fleet/src/table-watch.ts
+++ b/packages/fleet/src/table-watch.ts
@@ -1,7 +1,7 @@
 import { type Clock } from '@sesamereel/coordination'
 import { Backoff } from './backoff.js'
 import { type EventLog } from './event-log.js'
-import { type MetadataStore, type StoreRow } from './metadata-store.js'
+import { type MetadataStore, type RowChange, type StoreRow } from './metadata-store.js'
 
 /** Time in milliseconds that the store may hold a watch call open while there is no change. */
 const watchTimeoutMs = 1_000
@@ -18,6 +18,10 @@
   readonly batchingPauseMs: number
   /** Interval in milliseconds between two full reads while the table is not followed; a table without it is always followed. */
   readonly idleListIntervalMs?: number
+  /** Receives each reply. */
+  readonly evidence?: TableEvidenceObserver
+  /** Whether a list that comes due while a watch call waits is sent at once; else it follows the call, which may take 2 s longer. */
+  readonly listsDuringWatch?: boolean
   /** Source of the retry jitter, from 0 to 1; defaults to `Math.random`. */
   readonly random?: () => number
 }
@@ -27,6 +31,18 @@
   abstract onRows (rows: ReadonlyMap<string, StoreRow>, revision: number): void
 }
 
+/** Receives the replies about a table as they come, for decisions that need to know when each was requested. */
+export abstract class TableEvidenceObserver {
+  /**
+   * Called with each list, also with one that is older than the known rows.
+   *
+   * @param sentElapsed - time at which the list was requested, by the clock that counts suspensions
+   */
+  abstract onListed (rows: readonly StoreRow[], revision: number, sentElapsed: number): void
+  /** Called with the changes of each reply to a watch call. */
+  abstract onChanges (changes: readonly RowChange[]): void
+}
+
 /**
  * Keeps a copy of one store table: lists it, then watches for changes. It lists the table again when
  * the store has discarded the history, and at regular intervals, because a watch may miss changes
@@ -104,7 +120,8 @@
   async #readOnce (): Promise<void> {
     const sentAt = this.#clock.now()
     const isListDue = !this.#isFollowing || this.#revision === undefined || sentAt - this.#listedAt >= this.#options.relistIntervalMs
-    const failure = isListDue ? await this.#list(sentAt) : await this.#watch(this.#revision!, sentAt)
+    const cancelList = isListDue || this.#options.listsDuringWatch !== true ? undefined : this.#clock.startTimer(this.#listedAt + this.#options.relistIntervalMs - sentAt, () => { this.relist() })
+    const failure = isListDue ? await this.#list(sentAt) : await this.#watch(this.#revision!, sentAt).finally(cancelList)
     if (this.#closed) return
     if (failure === undefined) await this.#handleSuccess()
     else await this.#handleFailure(failure)
@@ -125,9 +142,11 @@
 
   /** @returns the error message of a failed call, else undefined */
   async #list (sentAt: number): Promise<string | undefined> {
+    const sentElapsed = this.#clock.readElapsed()
     const reply = await this.#store.list(this.#table)
     if (reply.kind !== 'rows') return reply.message
     if (this.#closed) return undefined
+    this.#options.evidence?.onListed(reply.rows, reply.revision, sentElapsed)
     this.#listedAt = Math.max(this.#listedAt, sentAt)
     // A reply older than the known revision must not restore outdated rows.
     if (this.#revision !== undefined && reply.revision < this.#revision) return undefined
@@ -165,6 +184,7 @@
       this.#listedAt = -Infinity
       return undefined
     }
+    this.#options.evidence?.onChanges(reply.changes)
     // A list that was read meanwhile contains these changes.
     if (this.#revision !== undefined && reply.revision < this.#revision) return undefined
     this.#currentAt = Math.max(this.#currentAt, sentAt)
--- a/packages/fleet/test/dispatcher-fixture.ts
+++ b/packages/fleet/test/dispatcher-fixture.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from '@sesamereel/coordination'
-import { defaultFleetLimits, Dispatcher, type DispatcherMessage, type JobSpec, NoopLog, NoopMetrics, type PollReply, type PollRequest, type RunningEntry, type StartOrder, type StartReply, type StopOrder, type StopReply, TargetConnection, TargetConnector, type TargetInfo } from '../src/index.js'
+import { defaultFleetLimits, Dispatcher, type DispatcherDrains, type DispatcherMessage, type JobSpec, NoopLog, NoopMetrics, type PollReply, type PollRequest, type RunningEntry, type StartOrder, type StartReply, type StopOrder, type StopReply, TargetConnection, TargetConnector, type TargetInfo } from '../src/index.js'
 import { OwnerConnection } from '../src/owner-registry.js'
 
 const noAnswer = { kind: 'no-answer', message: 'no reply' } as const
@@ -101,7 +101,7 @@
 }
 
 /** A dispatcher with a complete list of targets, on a manual clock. */
-export function createDispatcher (clock: ManualClock, targets: readonly FakeTarget[], measureListAgeMs = (): number => 0): Dispatcher {
+export function createDispatcher (clock: ManualClock, targets: readonly FakeTarget[], measureListAgeMs = (): number => 0, drains?: DispatcherDrains): Dispatcher {
   return new Dispatcher({
     domain: 'a',
     token: 16,
@@ -113,6 +113,7 @@
     remoteFactor: 1,
     isListComplete: () => true,
     measureListAgeMs,
+    ...(drains === undefined ? {} : { drains }),
     onSuperseded: () => {}
   })
 }
--- a/packages/fleet/test/owner-fixture.ts
+++ b/packages/fleet/test/owner-fixture.ts
@@ -1,5 +1,5 @@
 import { type ManualClock } from '@sesamereel/coordination'
-import { defaultFleetLimits, type DispatcherConnection, JobOwner, type JobSpec, type LoadSummary, type OwnerMessage, NoopLog, NoopMetrics } from '../src/index.js'
+import { defaultFleetLimits, type DispatcherConnection, type DomainDrains, JobOwner, type JobSpec, type LoadSummary, type OwnerMessage, NoopLog, NoopMetrics } from '../src/index.js'
 
 const load: LoadSummary = { freeProcessors: 100_000, usableProcessors: 100_000, waitMs: 0, queuedJobs: 0, largestFree: 32_000 }
 
@@ -30,8 +30,8 @@
 }
 
 /** Creates an owner whose home domain is `a`. */
-export function createOwner (clock: ManualClock, connections: readonly FakeConnection[]): JobOwner {
-  const owner = new JobOwner({ homeDomain: 'a', clock, limits: defaultFleetLimits, log: new NoopLog(), metrics: new NoopMetrics() }, () => {})
+export function createOwner (clock: ManualClock, connections: readonly FakeConnection[], drains?: DomainDrains): JobOwner {
+  const owner = new JobOwner({ homeDomain: 'a', clock, limits: defaultFleetLimits, log: new NoopLog(), metrics: new NoopMetrics(), ...(drains === undefined ? {} : { drains }) }, () => {})
   for (const connection of connections) owner.addConnection(connection.asConnection())
   return owner
 }
