Drain: fault in emulator and soak, check of the bound, wait after a pause

Cause: no play drained a domain. A dispatcher whose process was paused could start a job of its own instance before it read that a drain had been requested meanwhile.

After a gap of 1 s between two rounds a dispatcher waits for the state again. A peer's state counts as recent only if it answers a heartbeat that was sent since. The deadlines of a round's orders count from before the decision.

--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -1,6 +1,8 @@
 import { ManualClock } from '@sesamereel/coordination'
 import { ConfigurationRelay, defaultFleetLimits, Directory, DispatcherElection, DispatcherConnection, DomainProbe, type EventLog, type InstanceEntry, type JobAnswer, JobOwner, type JobSpec, OwnerServer, NoopLog, NoopMetrics, type StoreRow, type TargetInfo, TargetList } from '@sesamereel/fleet'
+import { DrainHistory } from './drain-history.js'
 import { EmulatedConnector, type LateOrders } from './emulated-connector.js'
+import { createEmulatedDrains, emulatedDrainTable } from './emulated-drains.js'
 import { EmulatedNetwork } from './emulated-network.js'
 import { EmulatedPeerNetwork } from './emulated-peer-network.js'
 import { EmulatedProcess } from './emulated-process.js'
@@ -21,6 +23,8 @@
   readonly instancesPerDomain: number
   readonly targetsPerDomain: number
   readonly seed: number
+  /** Time in milliseconds after the request of a domain's drain from which no task may start there; without it domains can't be drained. */
+  readonly evacuateMs?: number
   /** Creates the log of an instance; by default nothing is logged. */
   readonly createLog?: (instance: string, clock: ManualClock) => EventLog
 }
@@ -59,6 +63,7 @@
   readonly network = new EmulatedNetwork(this.clock)
   readonly store = new EmulatedStore(this.clock, this.network)
   readonly history = new FleetHistory(this.clock)
+  readonly drainHistory: DrainHistory
   readonly random: RandomSource
   readonly lateOrders: LateOrders = { probability: 0 }
   readonly targets = new Map<string, EmulatedTarget>()
@@ -71,6 +76,7 @@
 
   constructor (options: EmulatedFleetOptions) {
     this.#options = options
+    this.drainHistory = new DrainHistory(this.clock, options.evacuateMs ?? Infinity)
     this.random = new RandomSource(options.seed)
     for (const domain of options.domains) this.#addTargets(domain)
     for (const domain of options.domains) {
@@ -145,6 +151,19 @@
     this.store.put(emulatedTargetTable, target.info.id, JSON.stringify({ ...target.info, draining: true }))
   }
 
+  get domains (): readonly string[] { return this.#options.domains }
+
+  /** Requests the drain of a domain in the store, or withdraws it. */
+  writeDrainRequest (domain: string, isDrained: boolean): void {
+    if (isDrained) this.store.put(emulatedDrainTable, domain, '{}')
+    else this.store.remove(emulatedDrainTable, domain)
+  }
+
+  /** @returns a line for each violation of an invariant */
+  listViolations (): readonly string[] {
+    return [...this.history.listViolations(), ...this.drainHistory.listViolations(this.history.runs, id => this.targets.get(id)?.info.domain)]
+  }
+
   /**
    * Submits a job through an instance and records its answer in the history.
    *
@@ -200,8 +219,11 @@
     const directory = new Directory(store, clock, log, random)
     const targets = new TargetList(store, emulatedTargetTable, decodeTarget, clock, log, random)
     const relay = new ConfigurationRelay(() => true)
-    const server = new OwnerServer(self.incarnation, clock, relay)
-    const owner: JobOwner = new JobOwner({ homeDomain: self.domain, clock, limits, log, metrics }, domain => { election.takeOver(domain) })
+    const { evacuateMs, domains } = this.#options
+    const drains = evacuateMs === undefined ? undefined : createEmulatedDrains(self.instance, domains, evacuateMs, store, clock, log)
+    const drainState = drains === undefined ? {} : { drains: drains.state }
+    const server = new OwnerServer(self.incarnation, clock, relay, drains?.state)
+    const owner: JobOwner = new JobOwner({ homeDomain: self.domain, clock, limits, log, metrics, ...drainState }, domain => { election.takeOver(domain) })
     const election: DispatcherElection = new DispatcherElection({
       self,
       store,
@@ -223,10 +245,11 @@
         remoteFactor: 1,
         isListComplete: () => targets.isComplete(domain),
         measureListAgeMs: () => targets.measureAgeMs(),
+        ...(drains === undefined ? {} : { drains }),
         onSuperseded
       })
     })
-    const connections = this.#options.domains.map(domain => new DispatcherConnection({ domain, self, directory, connector: this.peers.connect(self.instance), local: server, relay, clock, log, observer: owner }))
+    const connections = domains.map(domain => new DispatcherConnection({ domain, self, directory, connector: this.peers.connect(self.instance), local: server, relay, ...drainState, clock, log, observer: owner }))
     for (const connection of connections) {
       owner.addConnection(connection)
       election.addConnection(connection)
@@ -235,6 +258,7 @@
     this.peers.addServer(self.instance, server)
     directory.start()
     targets.start()
+    drains?.start()
     for (const connection of connections) connection.start()
     election.start()
     const stop = (): void => {
@@ -244,6 +268,7 @@
       server.close()
       directory.close()
       targets.close()
+      drains?.close()
     }
     return { entry: self, process: clock, owner, election, server, stop }
   }
--- a/packages/emulator/src/random-fault-scenario.ts
+++ b/packages/emulator/src/random-fault-scenario.ts
@@ -5,6 +5,7 @@
 import { EmulatedCaller, type JobShape } from './emulated-caller.js'
 import { furtherInstanceFaultNames, InstanceFaults, instanceFaultNames, unnoticedFaultNames } from './instance-faults.js'
 import { furtherNetworkFaultNames, NetworkFaults, networkFaultNames } from './network-faults.js'
+import { OperatorFaults, operatorFaultNames } from './operator-faults.js'
 
 /** The jobs of a scenario. */
 export interface ScenarioLoad {
@@ -31,7 +32,7 @@
 /** Names of all faults that a random scenario can inject. */
 export const allFaultNames = [...scenarioFaultNames, ...furtherInstanceFaultNames, ...furtherNetworkFaultNames, ...unnoticedFaultNames] as const
 
-export type FaultName = (typeof allFaultNames)[number]
+export type FaultName = (typeof allFaultNames)[number] | (typeof operatorFaultNames)[number]
 
 /** Outcome of a random fault scenario. */
 export interface ScenarioResult {
@@ -52,6 +53,7 @@
   readonly #instanceFaults: InstanceFaults
   readonly #networkFaults: NetworkFaults
   readonly #dependencyFaults: DependencyFaults
+  readonly #operatorFaults: OperatorFaults
   readonly #schedule: FaultSchedule<FaultName>
   readonly #load: ScenarioLoad
 
@@ -65,6 +67,7 @@
     this.#dependencyFaults = new DependencyFaults({
       store, targets, lateOrders, random, writeTargetEntry: (target, draining) => { store.put(emulatedTargetTable, target.info.id, JSON.stringify({ ...target.info, draining })) }
     })
+    this.#operatorFaults = new OperatorFaults({ clock: fleet.clock, random, store, history: fleet.drainHistory, domains: fleet.domains, writeRequest: (domain, isDrained) => { fleet.writeDrainRequest(domain, isDrained) } })
     this.#schedule = new FaultSchedule(random, faultNames, name => this.#inject(name), fleet.clock.now())
   }
 
@@ -84,7 +87,7 @@
     this.#schedule.endExpiredFaults(Infinity)
     await fleet.advance(recoveryPeriodMs + recoveryPerResendMs * Math.max(0, this.#load.maxResends - defaultLoad.maxResends))
     const isRecovered = await this.#checkRecovery()
-    return { violations: fleet.history.listViolations(), completedFraction: fleet.history.computeCompletedFraction(), faults: this.#schedule.faults, reservedRuns: this.#countReservedRuns(), isRecovered }
+    return { violations: fleet.listViolations(), completedFraction: fleet.history.computeCompletedFraction(), faults: this.#schedule.faults, reservedRuns: this.#countReservedRuns(), isRecovered }
   }
 
   #submitJob (): void {
@@ -108,6 +111,7 @@
     if (isFault([...instanceFaultNames, ...furtherInstanceFaultNames, ...unnoticedFaultNames], name)) return this.#instanceFaults.inject(name)
     if (name === 'join') return joinTarget(this.#fleet)
     if (isFault([...networkFaultNames, ...furtherNetworkFaultNames], name)) return this.#networkFaults.inject(name)
+    if (name === 'drain-domain') return this.#operatorFaults.drainDomain()
     return this.#dependencyFaults.inject(name)
   }
 
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -224,8 +224,10 @@
   #onMessagesHandled (): void {
     if (this.#stopped) return
     this.#releaseUnlocatedJobs()
+    // Read first: the deadlines of the orders count from this time, so that a pause after the decision makes targets refuse them.
+    const now = this.#state.now()
     const mayStart = this.#drain.settleJobs()
-    if (mayStart && !this.#startsPaused && !this.#awaitsList()) this.#scheduler.startTasks()
+    if (mayStart && !this.#startsPaused && !this.#awaitsList()) this.#scheduler.startTasks(now)
     this.#state.reportProgress()
   }
 
--- a/packages/fleet/src/domain-drains.ts
+++ b/packages/fleet/src/domain-drains.ts
@@ -90,7 +90,7 @@
   #listRevision = 0
   /** Time at which the newest own list was requested. */
   #readAt = -Infinity
-  /** Time at which a peer sent a state that was recent enough to start tasks by. */
+  /** Newest time since which a peer has sent a state that was recent enough to start tasks by. */
   #peerHeardAt = -Infinity
 
   constructor (options: DomainDrainsOptions) {
@@ -177,12 +177,17 @@
     if (this.isEnabled) this.#merge(0, entries, 'store')
   }
 
-  /** Takes over what a message of another instance shows to be newer. */
-  receive ({ drains }: DrainCarrier, instance: string): void {
+  /**
+   * Takes over what a message of another instance shows to be newer.
+   *
+   * @param sentAfter - time, by this instance's clock, after which the message was certainly sent; undefined if it may have
+   *   waited while this process was paused
+   */
+  receive ({ drains }: DrainCarrier, instance: string, sentAfter?: number): void {
     if (drains === undefined || !this.isEnabled || instance === this.#options.instance) return
     this.#merge(drains.listRevision, drains.entries, `instance ${instance}`)
     // A request that an older state lacks may be due already.
-    if (drains.readMsAgo !== undefined && drains.readMsAgo <= this.evacuateMs - drainMarginMs) this.#peerHeardAt = this.#options.clock.readElapsed()
+    if (sentAfter !== undefined && drains.readMsAgo !== undefined && drains.readMsAgo <= this.evacuateMs - drainMarginMs) this.#peerHeardAt = Math.max(this.#peerHeardAt, sentAfter)
   }
 
   /** Logs and remembers an invalid row, once for its revision. */
--- a/packages/fleet/src/drain-dispatch.ts
+++ b/packages/fleet/src/drain-dispatch.ts
@@ -6,7 +6,7 @@
 /** Retry delay in milliseconds of a job that is rejected because its domain is drained. */
 export const drainedRetryMs = 1_000
 
-/** Longest time in milliseconds for which a new dispatcher waits for the state of the drains; the store may be away. */
+/** Longest time in milliseconds for which a dispatcher waits for the state of the drains when it begins or was paused; the store may be away. */
 const maxStateWaitMs = 300
 
 /**
@@ -15,6 +15,12 @@
  */
 const runDiscoveryMs = 2_500
 
+/**
+ * Time in milliseconds between two rounds of starts beyond which the process was paused. A drain may have been requested
+ * since, and a job of this instance's own owner could start before the store or a peer tells it.
+ */
+const minPauseMs = 1_000
+
 /** Access of one dispatcher to the drains of its instance. */
 export interface DispatcherDrains {
   readonly state: DomainDrains
@@ -27,8 +33,12 @@
   readonly #state: DispatchState
   readonly #domain: string
   readonly #drains: DomainDrains | undefined
+  readonly #read: () => void
   readonly #onChange: () => void
   readonly #startedElapsed: number
+  /** Time since which the state of the drains must have been read or received before tasks start. */
+  #awaitedSince: number
+  #settledAt: number
   /** Whether this dispatcher has been allowed to start tasks. */
   #hasBegun = false
   #beganDrained = false
@@ -45,10 +55,14 @@
     this.#state = state
     this.#domain = domain
     this.#drains = drains?.state.isEnabled === true ? drains.state : undefined
+    this.#read = drains?.read ?? (() => {})
     this.#onChange = onChange
     this.#startedElapsed = state.readElapsed()
-    this.#drains?.addObserver(this)
-    if (this.#drains !== undefined) drains?.read()
+    this.#awaitedSince = this.#startedElapsed
+    this.#settledAt = this.#startedElapsed
+    if (this.#drains === undefined) return
+    this.#drains.addObserver(this)
+    this.#read()
   }
 
   get isDrained (): boolean { return this.#drains?.isDrained(this.#domain) === true }
@@ -77,11 +91,12 @@
    */
   settleJobs (): boolean {
     if (this.#drains === undefined) return true
-    if (!this.#hasBegun) {
-      if (this.#awaitsState(this.#drains)) return false
-      this.#hasBegun = true
-      this.#beganDrained = this.isDrained
-    }
+    const now = this.#state.readElapsed()
+    if (now - this.#settledAt > minPauseMs) this.#awaitState(now)
+    this.#settledAt = now
+    if (this.#awaitsState(this.#drains, now)) return false
+    if (!this.#hasBegun) this.#beganDrained = this.isDrained
+    this.#hasBegun = true
     const rule = this.#decideRule(this.#drains)
     if (rule.kind === 'all') {
       this.#isNoticed = false
@@ -99,9 +114,14 @@
     return rule.kind === 'started-jobs'
   }
 
-  /** @returns whether this dispatcher is new and has neither read the state nor received it from a peer since it began */
-  #awaitsState (drains: DomainDrains): boolean {
-    return !drains.hasStateSince(this.#startedElapsed) && this.#state.readElapsed() - this.#startedElapsed < maxStateWaitMs
+  #awaitState (since: number): void {
+    this.#awaitedSince = since
+    this.#read()
+  }
+
+  /** @returns whether the state was neither read nor received from a peer since this dispatcher began or its process was paused */
+  #awaitsState (drains: DomainDrains, now: number): boolean {
+    return !drains.hasStateSince(this.#awaitedSince) && now - this.#awaitedSince < maxStateWaitMs
   }
 
   #decideRule (drains: DomainDrains): StartRule {
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -211,7 +211,7 @@
       this.#sendConfiguration(connection)
       return
     }
-    if (message.type === 'heartbeat-reply') this.#drains?.receive(message, connection.instance)
+    if (message.type === 'heartbeat-reply') this.#drains?.receive(message, connection.instance, message.heardSentAt)
     dispatcher.enqueueMessage(connection, message)
     if (message.type === 'ping') this.#sendPong(connection, dispatcher)
     if (message.type !== 'ping' && message.type !== 'heartbeat-reply') return
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -43,11 +43,14 @@
     this.#isolation = new SuspectIsolation(state)
   }
 
-  /** Starts as many waiting tasks as fit, in the order of the queue, and tells the owners which jobs have started. */
-  startTasks (): void {
+  /**
+   * Starts as many waiting tasks as fit, in the order of the queue, and tells the owners which jobs have started.
+   *
+   * @param now - time from which the deadlines of the orders count
+   */
+  startTasks (now = this.#state.now()): void {
     const { queue, sessions } = this.#state
     if (queue.size === 0) return
-    const now = this.#state.now()
     const usable = [...sessions.values()].filter(session => session.isUsable(now))
     const largestFree = usable.reduce((largest, { freeCapacity }) => Math.max(largest, freeCapacity.processors), 0)
     // In an overload little capacity is free in most rounds, and all other jobs and targets need no further look.
--- a/packages/fleet/test/domain-drain-dispatch.test.ts
+++ b/packages/fleet/test/domain-drain-dispatch.test.ts
@@ -48,6 +48,12 @@
   }
 }
 
+/** A clock whose elapsed time can run ahead at once, as after a suspension. */
+class PausingClock extends ManualClock {
+  pausedMs = 0
+  override readElapsed (): number { return this.now() + this.pausedMs }
+}
+
 /** @returns a job of which two tasks fit the target at a time */
 function createWideJob (id: string, count: number): JobSpec {
   const job = createJob(id)
@@ -138,6 +144,32 @@
     }
   })
 
+  // After a pause of the process, timers and the own owner's jobs come before any news; a drain may be due since.
+  it('waits for the state again after a pause of its process', async () => {
+    const fixture = new Fixture()
+    await fixture.advance(50)
+    fixture.dispatcher.stop()
+    let readCount = 0
+    const clock = new PausingClock()
+    const drains = new DomainDrains({ instance: 'i', domains: ['a'], evacuateMs, clock, log: new NoopLog() })
+    const dispatcher = createDispatcher(clock, [fixture.target], () => 0, { state: drains, read: () => { if (++readCount === 1) drains.applyList([], 1, clock.readElapsed()) } })
+    dispatcher.addOwner(fixture.owner)
+    dispatcher.updateTargets([fixture.target.info])
+    await clock.advance(100)
+    clock.pausedMs = 6_000
+    const submit = async (): Promise<void> => {
+      dispatcher.enqueueMessage(fixture.owner, { type: 'heartbeat-reply', configurationVersion: 0, heardSentAt: clock.readElapsed() })
+      dispatcher.enqueueMessage(fixture.owner, { type: 'submit', submissionId: 1, job: createJob('a'.repeat(16)), ageMs: 0, resubmitted: false, quietInMs: 0, done: [] })
+      await clock.advance(100)
+    }
+    await submit()
+    assert.deepEqual([fixture.target.starts.length, readCount], [0, 2])
+    drains.applyList([row], 5, clock.readElapsed())
+    await clock.advance(50)
+    assert.equal(fixture.listReplies('rejected').length, 1)
+    dispatcher.stop()
+  })
+
   // The list of an instance that the store refuses is old, so the request may be due when a peer tells it.
   it('starts nothing if it learns of the drain when the bound has passed', async () => {
     const fixture = new Fixture()
--- a/packages/fleet/test/domain-drains.test.ts
+++ b/packages/fleet/test/domain-drains.test.ts
@@ -93,13 +93,16 @@
   })
 
   // A peer that the store refuses may lack a request that is due already.
-  it('counts a peer only if its own list is recent', () => {
+  it('counts a peer only if its own list is recent, and its message too', () => {
     const { drains, clock } = create()
-    drains.receive({ drains: { listRevision: 1, entries: [] } }, 'peer')
-    drains.receive({ drains: { listRevision: 1, readMsAgo: 4_500, entries: [] } }, 'peer')
-    assert.equal(drains.hasStateSince(clock.readElapsed()), false)
+    const now = clock.readElapsed()
+    drains.receive({ drains: { listRevision: 1, entries: [] } }, 'peer', now)
+    drains.receive({ drains: { listRevision: 1, readMsAgo: 4_500, entries: [] } }, 'peer', now)
+    drains.receive({ drains: { listRevision: 1, readMsAgo: 3_500, entries: [] } }, 'peer', now - 1)
     drains.receive({ drains: { listRevision: 1, readMsAgo: 3_500, entries: [] } }, 'peer')
-    assert.equal(drains.hasStateSince(clock.readElapsed()), true)
+    assert.equal(drains.hasStateSince(now), false)
+    drains.receive({ drains: { listRevision: 1, readMsAgo: 3_500, entries: [] } }, 'peer', now)
+    assert.equal(drains.hasStateSince(now), true)
   })
 })
 
