Drain: log line of the owner's rejection, explanation, check of received states

Cause: a job that was answered 503 because all domains are drained had no line with the inputs, `explain` took a job that a drained domain returned for one that had waited too long, and a state without its fields would end the handling of a message.

Change: event job-unassigned; the returned job's line has ageMs in place of waitedMs; explain names drained domains; a state without list revision or entries is ignored.

--- a/packages/cli/src/job-explanation.ts
+++ b/packages/cli/src/job-explanation.ts
@@ -32,6 +32,8 @@
 }
 
 function explainRejection (jobLines: readonly LogLine[], answered: LogLine): string {
+  const unassigned = findLast(jobLines, 'job-unassigned')
+  if (unassigned !== undefined) return `${readField(unassigned, 'drained')} of ${readField(unassigned, 'connected')} connected domains are drained by an operator, and no other took the job`
   const rejection = findLast(jobLines, 'job-rejected')
   if (rejection === undefined) return `${readField(answered, 'reason')}; the dispatcher's line is missing`
   const { predictedMs, usefulMs, waitedMs, queued } = rejection.fields
--- a/packages/fleet/src/domain-drains.ts
+++ b/packages/fleet/src/domain-drains.ts
@@ -184,7 +184,7 @@
    *   waited while this process was paused
    */
   receive ({ drains }: DrainCarrier, instance: string, sentAfter?: number): void {
-    if (drains === undefined || !this.isEnabled || instance === this.#options.instance) return
+    if (!isDrainState(drains) || !this.isEnabled || instance === this.#options.instance) return
     this.#merge(drains.listRevision, drains.entries, `instance ${instance}`)
     // A request that an older state lacks may be due already.
     if (sentAfter !== undefined && drains.readMsAgo !== undefined && drains.readMsAgo <= this.evacuateMs - drainMarginMs) this.#peerHeardAt = Math.max(this.#peerHeardAt, sentAfter)
@@ -239,3 +239,8 @@
     this.#options.log.log('belief', 'domain-drain-begins', { ...inputs, revision: rowRevision, absentMsAgo: Number.isFinite(absentMsAgo) ? Math.round(absentMsAgo) : undefined })
   }
 }
+
+/** @returns false also for a state of another version that lacks what this one reads */
+function isDrainState (state: DrainState | undefined): state is DrainState {
+  return state !== undefined && Number.isFinite(state.listRevision) && Array.isArray(state.entries)
+}
--- a/packages/fleet/src/drain-dispatch.ts
+++ b/packages/fleet/src/drain-dispatch.ts
@@ -132,7 +132,7 @@
     this.#state.removeJob(job)
     this.#state.rejectJob(job, 'draining', drainedRetryMs)
     this.#state.metrics.countDrainedJob('returned')
-    this.#state.log('job', 'job-rejected', { job: job.id, reason: 'draining', retryAfterMs: drainedRetryMs, revision: this.revision, waitedMs: Math.round(this.#state.now() - job.acceptedAt), queued: this.#state.queue.size })
+    this.#state.log('job', 'job-rejected', { job: job.id, reason: 'draining', retryAfterMs: drainedRetryMs, revision: this.revision, ageMs: Math.round(this.#state.now() - job.acceptedAt), queued: this.#state.queue.size })
   }
 
   /** Ends a started job that has no run. It may have run, so that it is not returned to its owner. */
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -215,7 +215,7 @@
       .map(connection => ({ domain: connection.domain, load: connection.load, isHome: connection.domain === this.#options.homeDomain }))
     const chosen = chooseDomain(options, job.demand)?.domain
     if (chosen === undefined) {
-      if (this.#isOnlyDrainedConnected()) this.#answerJob(job, createDrainedRejection(job))
+      if (this.#isOnlyDrainedConnected()) this.#rejectDrained(job)
       else if (job.rejectedBy.size > 0) this.#answerJob(job, createRejection(job, 'overloaded'))
       return
     }
@@ -226,6 +226,14 @@
     return this.#options.drains?.isDrained(domain) === true
   }
 
+  /** Answers a job that no connected domain takes, because domains are drained. */
+  #rejectDrained (job: OwnedJob): void {
+    const connected = [...this.#connections.values()].filter(connection => connection.isConnected)
+    const readMsAgo = this.#options.drains?.measureReadAgeMs() ?? Infinity
+    this.#options.log.log('job', 'job-unassigned', { job: job.spec.id, connected: connected.length, drained: connected.filter(connection => this.#isDrained(connection)).length, rejectedBy: job.rejectedBy.size, readMsAgo: Number.isFinite(readMsAgo) ? Math.round(readMsAgo) : undefined, mayHaveStarted: job.mayHaveStarted })
+    this.#answerJob(job, createDrainedRejection(job))
+  }
+
   /** @returns whether dispatchers are connected, all of drained domains */
   #isOnlyDrainedConnected (): boolean {
     const connected = [...this.#connections.values()].filter(connection => connection.isConnected)
@@ -268,9 +276,9 @@
       this.#assignDispatcher(job)
       return
     }
-    const isDrainedDomainUntried = [...this.#connections.values()].some(other => other.isConnected && this.#isDrained(other))
+    const hasDrainedDomain = [...this.#connections.values()].some(other => other.isConnected && this.#isDrained(other))
     // A target of a drained domain may fit the job.
-    if (reason === 'draining' || (isDrainedDomainUntried && reason === 'fits-no-target')) this.#answerJob(job, createDrainedRejection(job))
+    if (reason === 'draining' || (hasDrainedDomain && reason === 'fits-no-target')) this.#rejectDrained(job)
     else if (reason === 'fits-no-target' && !job.mayHaveStarted) this.#answerJob(job, { kind: 'failed', reason })
     else this.#answerJob(job, createRejection(job, reason))
   }
