--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -3,6 +3,7 @@
 import { type CancelledChanges, CancelledJobs } from './cancelled-jobs.js'
 import { DispatchState, maintenanceIntervalMs, type ReleaseEvidence } from './dispatch-state.js'
 import { type DispatchedJob } from './dispatched-job.js'
+import { DrainDispatch, type DispatcherDrains } from './drain-dispatch.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
 import { JobIntake } from './job-intake.js'
@@ -54,6 +55,8 @@
   readonly cancelled?: CancelledJobs
   /** Whether the operator's configuration has queues of several priorities for a service; never if absent. */
   readonly isContended?: (service: string) => boolean
+  /** The drains of domains; undefined if domains can't be drained. */
+  readonly drains?: DispatcherDrains
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: () => void
 }
@@ -66,6 +69,7 @@
 export class Dispatcher {
   readonly #options: DispatcherOptions
   readonly #state: DispatchState
+  readonly #drain: DrainDispatch
   readonly #intake: JobIntake
   readonly #cancellations: CancellationIntake
   readonly #tracker: RunTracker
@@ -86,7 +90,8 @@
     this.#token = options.token
     this.#startedAt = options.clock.now()
     this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics, options.isContended)
-    this.#intake = new JobIntake(this.#state)
+    this.#drain = new DrainDispatch(this.#state, options.domain, options.drains, () => { this.#mailbox.schedule() })
+    this.#intake = new JobIntake(this.#state, this.#drain)
     this.#cancellations = new CancellationIntake(this.#state, options.cancelled ?? new CancelledJobs())
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
     this.#tracker = new RunTracker(this.#state, options.limits.lateOrderMs, {
@@ -130,6 +135,7 @@
     if (this.#stopped) return
     this.#stopped = true
     this.#cancelMaintenance()
+    this.#drain.close()
     this.#mailbox.stop()
     for (const session of this.#state.sessions.values()) session.close()
   }
@@ -160,7 +166,7 @@
   addOwner (connection: OwnerConnection, lingering?: readonly string[]): void {
     const sentAt = this.#state.readElapsed()
     this.#state.owners.add(connection, sentAt)
-    connection.send({ type: 'welcome', token: this.#token, sentAt, ...(lingering === undefined ? {} : { lingering, cancelled: this.#cancellations.listAll() }) })
+    connection.send({ type: 'welcome', token: this.#token, sentAt, ...(lingering === undefined ? {} : { lingering, cancelled: this.#cancellations.listAll() }), ...this.#options.drains?.state.describe() })
   }
 
   /** Handles the end of an owner's connection. Its jobs are kept for a while in case it reconnects. */
@@ -184,7 +190,8 @@
 
   /** @returns the load summary that is sent to the owners */
   summarizeLoad (): LoadSummary {
-    return this.#state.summarizeLoad()
+    const load = this.#state.summarizeLoad()
+    return this.#drain.isDrained ? { ...load, runs: this.#drain.countRuns() } : load
   }
 
   /**
@@ -240,7 +247,10 @@
   #onMessagesHandled (): void {
     if (this.#stopped) return
     this.#releaseUnlocatedJobs()
-    if (!this.#startsPaused && !this.#awaitsList()) this.#scheduler.startTasks()
+    // Read first: the deadlines of the orders count from this time, so that a pause after the decision makes targets refuse them.
+    const now = this.#state.now()
+    const mayStart = this.#drain.settleJobs()
+    if (mayStart && !this.#startsPaused && !this.#awaitsList()) this.#scheduler.startTasks(now)
     this.#state.reportProgress()
   }
 
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -1,7 +1,9 @@
 import { type Clock } from '@sesamereel/coordination'
 import { CancelledJobs } from './cancelled-jobs.js'
 import { canStartAtOnce, chooseDomain } from './domain-choice.js'
+import { type DomainDrains } from './domain-drains.js'
 import { type DispatcherConnection, DispatcherConnectionObserver, lostDispatcherRunExpiryMs } from './dispatcher-connection.js'
+import { drainedRetryMs } from './drain-dispatch.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
 import { JobCancellations } from './job-cancellations.js'
@@ -38,6 +40,8 @@
   readonly metrics: FleetMetrics
   /** Cancelled jobs, shared with the dispatchers of this process; by default a list of the owner's own. */
   readonly cancelled?: CancelledJobs
+  /** The drained domains, which get no new jobs; undefined if domains can't be drained. */
+  readonly drains?: DomainDrains
 }
 
 /**
@@ -218,17 +222,36 @@
       return
     }
     const options = [...this.#connections.values()]
-      .filter(connection => connection.isConnected)
+      .filter(connection => connection.isConnected && !this.#isDrained(connection))
       .filter(connection => !job.rejectedBy.has(connection.domain))
       .map(connection => ({ domain: connection.domain, load: connection.load, isHome: connection.domain === this.#options.homeDomain }))
     const chosen = chooseDomain(options, job.demand)?.domain
     if (chosen === undefined) {
-      if (job.rejectedBy.size > 0) this.#answerJob(job, createRejection(job, 'overloaded'))
+      if (this.#isOnlyDrainedConnected()) this.#rejectDrained(job)
+      else if (job.rejectedBy.size > 0) this.#answerJob(job, createRejection(job, 'overloaded'))
       return
     }
     this.#submitTo(job, this.#connections.get(chosen)!, job.mayHaveStarted)
   }
 
+  #isDrained ({ domain }: DispatcherConnection): boolean {
+    return this.#options.drains?.isDrained(domain) === true
+  }
+
+  /** Answers a job that no connected domain takes, because domains are drained. */
+  #rejectDrained (job: OwnedJob): void {
+    const connected = [...this.#connections.values()].filter(connection => connection.isConnected)
+    const readMsAgo = this.#options.drains?.measureReadAgeMs() ?? Infinity
+    this.#options.log.log('job', 'job-unassigned', { job: job.spec.id, connected: connected.length, drained: connected.filter(connection => this.#isDrained(connection)).length, rejectedBy: job.rejectedBy.size, readMsAgo: Number.isFinite(readMsAgo) ? Math.round(readMsAgo) : undefined, mayHaveStarted: job.mayHaveStarted })
+    this.#answerJob(job, createDrainedRejection(job))
+  }
+
+  /** @returns whether dispatchers are connected, all of drained domains */
+  #isOnlyDrainedConnected (): boolean {
+    const connected = [...this.#connections.values()].filter(connection => connection.isConnected)
+    return connected.length > 0 && connected.every(connection => this.#isDrained(connection))
+  }
+
   /** @returns the connection to a dispatcher that lists the job, or that did so before it was lost; a connected one first */
   #findHolder (job: OwnedJob): DispatcherConnection | undefined {
     const holders = [...this.#connections.values()].filter(({ domain }) => !job.rejectedBy.has(domain)).filter(connection => connection.isLingering(job.spec.id))
@@ -258,14 +281,17 @@
     job.location = { kind: 'none' }
     job.rejectedBy.add(connection.domain)
     job.retryAfterMs = job.rejectedBy.size === 1 ? retryAfterMs : Math.min(job.retryAfterMs, retryAfterMs)
-    const others = [...this.#connections.values()].filter(other => other.isConnected && !job.rejectedBy.has(other.domain))
+    const others = [...this.#connections.values()].filter(other => other.isConnected && !job.rejectedBy.has(other.domain) && !this.#isDrained(other))
     const now = this.#options.clock.now()
     const isWorthwhile = reason !== 'overloaded' || others.some(other => (other.load?.waitMs ?? 0) < job.spec.usefulMs - (now - job.acceptedAt))
     if (others.length > 0 && isWorthwhile) {
       this.#assignDispatcher(job)
       return
     }
-    if (reason === 'fits-no-target' && !job.mayHaveStarted) this.#answerJob(job, { kind: 'failed', reason })
+    const hasDrainedDomain = [...this.#connections.values()].some(other => other.isConnected && this.#isDrained(other))
+    // A target of a drained domain may fit the job.
+    if (reason === 'draining' || (hasDrainedDomain && reason === 'fits-no-target')) this.#rejectDrained(job)
+    else if (reason === 'fits-no-target' && !job.mayHaveStarted) this.#answerJob(job, { kind: 'failed', reason })
     else this.#answerJob(job, createRejection(job, reason))
   }
 
@@ -274,12 +300,13 @@
     if (job === undefined || job.location.kind !== 'withdrawing') return
     const to = this.#connections.get(job.location.destination)
     job.location = { kind: 'none' }
-    if (to?.isConnected === true) this.#submitTo(job, to, false)
+    if (to?.isConnected === true && !this.#isDrained(to)) this.#submitTo(job, to, false)
     else this.#assignDispatcher(job)
   }
 
   /** Withdraws jobs that wait in other domains so that they can move to a domain with free capacity. */
   #moveWaitingJobs (to: DispatcherConnection, load: LoadSummary): void {
+    if (this.#isDrained(to)) return
     const now = this.#options.clock.now()
     let free = load.freeProcessors / 2
     for (const job of this.#jobs.values()) {
@@ -368,6 +395,11 @@
   return job.mayHaveStarted ? { kind: 'unknown', reason } : { kind: 'rejected', reason, retryAfterMs: job.retryAfterMs }
 }
 
+/** Builds the answer to a job that no domain takes because domains are drained; no target serves it for now. */
+function createDrainedRejection (job: OwnedJob): JobAnswer {
+  return job.mayHaveStarted ? { kind: 'unknown', reason: 'no-target' } : { kind: 'rejected', reason: 'no-target', retryAfterMs: drainedRetryMs }
+}
+
 function roundOptional (value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value)
 }
