Clients of all listeners share one budget of memory, descriptors and requests

Cause: connections, bodies, headers, pipelined requests and decoded jobs were bounded for each connection or not at all, so that a few dozen clients could end a process, and idle ones could take all descriptors.

Change: ClientBudget (pure) decides what fits and which client is disconnected first: the one that has kept the process waiting for longest with most still to send. ClientGuard applies it to the sockets of the three listeners.

--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -12,6 +12,7 @@
   readonly #takeovers = this.#createCounter('takeovers_total', 'Times that this instance has become a dispatcher, by cause', ['how'])
   readonly #answers = this.#createCounter('answers_total', 'Answers to callers by outcome and reason', ['outcome', 'reason'])
   readonly #storeCalls = this.#createCounter('store_calls_total', 'Calls to the store by call and result', ['call', 'result'])
+  readonly #clientLimits = this.#createCounter('client_limits_total', 'Decisions against clients that reached a limit', ['limit'])
   readonly #startSeconds = this.#createHistogram('start_seconds', 'Time from a start order to the target\'s answer', ['answer'])
   readonly #superseded = this.#createCounter('superseded_total', 'Targets that reported a higher fencing token than the dispatcher\'s', [])
   readonly #secondRuns = this.#createCounter('second_runs_total', 'Runs that a target listed while another run of their task might exist', [])
@@ -63,6 +64,11 @@
     this.#storeCalls.inc({ call, result })
   }
 
+  /** Counts a client that was refused, or whose connection was closed, because of a limit. */
+  countClientLimit (limit: string): void {
+    this.#clientLimits.inc({ limit })
+  }
+
   /**
    * Adds a gauge whose values are collected at each scrape.
    *
--- a/packages/transport/src/http-listener.ts
+++ b/packages/transport/src/http-listener.ts
@@ -1,6 +1,8 @@
 import { createServer, type RequestListener, type Server } from 'node:http'
 import { type AddressInfo, type Socket } from 'node:net'
 import { createResultError } from '@sesamereel/state'
+import { type ListenerName } from './client-budget.js'
+import { type ClientGuard } from './client-guard.js'
 
 export interface ListenerLimits {
   /** Maximum number of connections that are open at the same time. */
@@ -20,13 +22,33 @@
   maxHeaderBytes: 16 * 1024
 }
 
+/** Limits that the operator's configuration can change while the listener runs. */
+export interface ConfiguredLimits {
+  readonly headerTimeoutMs: number
+  /** Time in milliseconds after which a connection without a request is closed. */
+  readonly idleTimeoutMs: number
+  readonly maxHeaderBytes: number
+}
+
+/** The share of a listener in the budget of its process. */
+export interface ListenerBudget {
+  readonly guard: ClientGuard
+  readonly name: ListenerName
+}
+
 /** An HTTP server on one address. */
 export class HttpListener {
   readonly #server: Server
   readonly #address: string
+  readonly #guard: ClientGuard | undefined
 
-  constructor (address: string, listener: RequestListener, limits: ListenerLimits = defaultListenerLimits) {
+  /**
+   * @param address - `IP:PORT` to listen on
+   * @param budget - the process's budget, which then bounds the connections instead of `limits.maxConnections`
+   */
+  constructor (address: string, listener: RequestListener, limits: ListenerLimits = defaultListenerLimits, budget?: ListenerBudget) {
     this.#address = address
+    this.#guard = budget?.guard
     this.#server = createServer({
       headersTimeout: limits.headerTimeoutMs,
       requestTimeout: limits.requestTimeoutMs,
@@ -35,9 +57,18 @@
       keepAliveTimeout: 10_000,
       connectionsCheckingInterval: Math.min(1_000, limits.headerTimeoutMs),
       noDelay: true
-    }, listener)
-    this.#server.maxConnections = limits.maxConnections
-    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => { respondToClientError(error, socket) })
+    }, budget === undefined ? listener : (request, response) => { if (budget.guard.beginRequest(request, response)) listener(request, response) })
+    if (budget === undefined) this.#server.maxConnections = limits.maxConnections
+    else this.#server.on('connection', (socket: Socket) => { budget.guard.addConnection(socket, budget.name) })
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => { this.#onClientError(error, socket) })
+  }
+
+  /** Applies limits to new connections and to the next requests of open ones. */
+  applyLimits (limits: ConfiguredLimits): void {
+    this.#server.headersTimeout = limits.headerTimeoutMs
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs
+    // The parser reads this member for each new connection; it is not part of the published types.
+    Object.assign(this.#server, { maxHeaderSize: limits.maxHeaderBytes })
   }
 
   /**
@@ -72,6 +103,13 @@
     clearInterval(idleTimer)
     clearTimeout(graceTimer)
   }
+
+  #onClientError (error: NodeJS.ErrnoException, socket: Socket): void {
+    // The parser's time-out for headers also ends connections that have sent nothing; these are idle, and the guard's sweep closes them.
+    if (this.#guard !== undefined && error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && socket.bytesRead === 0) return
+    this.#guard?.markFailed(socket)
+    respondToClientError(error, socket)
+  }
 }
 
 /**
