Client limits: a closed connection creates no further requests

Cause: one read takes up to 64 KiB, more than a thousand pipelined requests. After a connection was closed for too many of them, the parser created a request and a response for each of the rest, and these are held until the event loop turns.

Change: the parser of a closed connection is told that no message follows. A test counts the requests that Node.js creates.

--- a/packages/transport/src/client-guard.ts
+++ b/packages/transport/src/client-guard.ts
@@ -119,6 +119,7 @@
     const { entry } = connection
     if (!this.#budget.beginRequest(entry)) {
       this.#closeOwn(connection, 'pipelined')
+      stopParser(request.socket)
       return false
     }
     response.once('close', () => {
@@ -246,3 +247,12 @@
     }
   }
 }
+
+/**
+ * Stops the parser of a connection that was closed in the middle of the bytes that were read from it. Otherwise it goes on to create
+ * thousands of requests that nobody handles; a few dozen such connections in one turn of the event loop filled the heap. The result 2 means that no
+ * HTTP message follows. The parser is no published member of a socket, so it may be absent, and the requests are then only ignored.
+ */
+function stopParser (socket: Socket & { readonly parser?: { onIncoming: unknown } | null }): void {
+  if (socket.parser !== undefined && socket.parser !== null) socket.parser.onIncoming = () => 2
+}
--- a/packages/transport/test/client-guard.test.ts
+++ b/packages/transport/test/client-guard.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import { subscribe, unsubscribe } from 'node:diagnostics_channel'
 import { once } from 'node:events'
 import { type RequestListener } from 'node:http'
 import { connect, type Socket } from 'node:net'
@@ -111,6 +112,21 @@
     assert.deepEqual(observer.reports.map(({ limit, outcome }) => `${limit} ${outcome}`), ['pipelined closed'])
   })
 
+  // Guards against pipelined requests that fill the heap although their connection was closed: they are held until the event loop turns.
+  it('creates no request after it has closed a connection', async t => {
+    const sockets = new Set<Socket>()
+    const { open } = await startListener(t, 60_000, request => { sockets.add(request.socket) })
+    const parsed: unknown[] = []
+    const onRequest = (message: unknown): void => { parsed.push(message) }
+    subscribe('http.server.request.start', onRequest)
+    t.after(() => { unsubscribe('http.server.request.start', onRequest) })
+    const socket = await open()
+    socket.write(request.repeat(2_000))
+    await readAll(socket)
+    assert.equal(sockets.size, 1)
+    assert.equal(parsed.length, 5)
+  })
+
   // Guards against clients that send bodies without end to a path that doesn't read them.
   it('closes a connection that sends on after its answer', async t => {
     const { open, observer } = await startListener(t, 60_000, (_, response) => { response.end('ok') })
