--- a/packages/transport/src/client-budget.ts
+++ b/packages/transport/src/client-budget.ts
@@ -2,7 +2,7 @@
 export type ListenerName = 'callers' | 'readiness' | 'metrics'
 
 /** Limits that a client can reach; also the values of the label `limit` of the counter. */
-export type ClientLimit = 'connections' | 'requests' | 'heap' | 'buffers' | 'pipelined' | 'unread' | 'unrequested-bytes' | 'idle'
+export type ClientLimit = 'connections' | 'requests' | 'heap' | 'buffers' | 'pipelined' | 'unread' | 'unrequested-bytes' | 'idle' | 'header-size' | 'body-size' | 'job-size' | 'timeout'
 
 /** Resources that clients of one process may use together. */
 export interface ClientBudgetLimits {
--- a/packages/transport/src/client-guard.ts
+++ b/packages/transport/src/client-guard.ts
@@ -173,10 +173,22 @@
     if (entry !== undefined) this.#budget.endWait(entry)
   }
 
-  /** Notes that a request could not be parsed and was answered, so that the connection is closed after a short time. */
-  markFailed (socket: Socket): void {
+  /** Reports that a request was refused because of its own size or time, which needs no decision of the budget. */
+  reportRefusal (socket: Socket, limit: ClientLimit): void {
+    const entry = this.#connections.get(socket)?.entry
+    if (entry !== undefined) this.#observer.onClientLimit({ limit, listener: entry.listener, outcome: 'refused' })
+  }
+
+  /**
+   * Notes that a request could not be parsed and was answered, so that the connection is closed after a short time.
+   *
+   * @param limit - limit that the request exceeded; absent if it was malformed
+   */
+  markFailed (socket: Socket, limit?: ClientLimit): void {
     const connection = this.#connections.get(socket)
-    if (connection !== undefined) connection.failedMs = this.#now()
+    if (connection === undefined) return
+    connection.failedMs = this.#now()
+    if (limit !== undefined) this.reportRefusal(socket, limit)
   }
 
   #addBytes (socket: Socket, kind: 'heap' | 'buffers', bytes: number): boolean {
--- a/packages/transport/src/http-listener.ts
+++ b/packages/transport/src/http-listener.ts
@@ -1,7 +1,7 @@
 import { createServer, type RequestListener, type Server } from 'node:http'
 import { type AddressInfo, type Socket } from 'node:net'
 import { createResultError } from '@sesamereel/state'
-import { type ListenerName } from './client-budget.js'
+import { type ClientLimit, type ListenerName } from './client-budget.js'
 import { type ClientGuard } from './client-guard.js'
 
 export interface ListenerLimits {
@@ -22,6 +22,9 @@
   maxHeaderBytes: 16 * 1024
 }
 
+/** Limits that a request exceeded, by the error code of the parser. */
+const exceededLimits: Readonly<Record<string, ClientLimit>> = { HPE_HEADER_OVERFLOW: 'header-size', ERR_HTTP_REQUEST_TIMEOUT: 'timeout' }
+
 /** Limits that the operator's configuration can change while the listener runs. */
 export interface ConfiguredLimits {
   readonly headerTimeoutMs: number
@@ -107,7 +110,7 @@
   #onClientError (error: NodeJS.ErrnoException, socket: Socket): void {
     // The parser's time-out for headers also ends connections that have sent nothing; these are idle, and the guard's sweep closes them.
     if (this.#guard !== undefined && error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && socket.bytesRead === 0) return
-    this.#guard?.markFailed(socket)
+    this.#guard?.markFailed(socket, exceededLimits[error.code ?? ''])
     respondToClientError(error, socket)
   }
 }
--- a/packages/transport/test/client-guard.test.ts
+++ b/packages/transport/test/client-guard.test.ts
@@ -79,10 +79,11 @@
   })
 
   it('answers an incomplete header with 408 and closes its connection although the client does not', async t => {
-    const { open } = await startListener(t, 60_000, (_, response) => { response.end('ok') })
+    const { open, observer } = await startListener(t, 60_000, (_, response) => { response.end('ok') })
     const socket = await open()
     socket.write(request.slice(0, 20))
     assert.match(await readAll(socket), /^HTTP\/1.1 408/)
+    assert.deepEqual(observer.reports.map(({ limit, outcome }) => `${limit} ${outcome}`), ['timeout refused'])
   })
 
   // Guards against a job whose answer is lost because its connection was taken for an idle one.
