Check an operator's configuration before it is sent

Cause: instances only log that a configuration is unreadable, and nothing reports entries that no request reaches, limits that contradict each other, or a version that instances ignore.

--- a/packages/cli/src/check-command.ts
+++ b/packages/cli/src/check-command.ts
@@ -1,13 +1,14 @@
 import { type ListName, type Problem, type Settings } from '@sesamereel/protocol'
 import { listDeployProblems, listSettingsProblems as listPlatformProblems } from '@sesamereel/platform'
 import { type LimitList, type PlanList } from '@sesamereel/state'
+import { checkConfiguration, type ConfigurationFlags, formatConfigurationChanges } from './check-configuration.js'
 import { type CommandContext, CommandError } from './command-context.js'
 import { listProblemsBetweenFiles, listSettingsProblems, listUnknownPlans, listZeroParallelLimits } from './cross-checks.js'
 import { exitCodes } from './exit-codes.js'
 import { formatCount } from './format-table.js'
 import { fileSchemas, formatProblems, listListFileProblems, listSchemaProblems, readJsonFile, readListFile, readTextFile } from './input-files.js'
 
-export interface CheckFlags {
+export interface CheckFlags extends ConfigurationFlags {
   /** One or more settings files; several files are also compared with each other. */
   readonly settings?: string | readonly string[]
   readonly plans?: string
@@ -37,13 +38,16 @@
   const platformFiles = flags.platform === undefined ? [] : typeof flags.platform === 'string' ? [flags.platform] : flags.platform
   for (const file of platformFiles) findings.set(file, listPlatformProblems(await readTextFile(context, file)))
   if (flags.deploy !== undefined) findings.set(flags.deploy, listDeployProblems(await readTextFile(context, flags.deploy)))
-  if (findings.size === 0) throw new CommandError('nothing to check: use --settings, --plans, --limits, --job, --platform or --deploy FILE', exitCodes.invalidInput.code)
+  const { findings: configurationFindings, changes } = await checkConfiguration(context, flags)
+  for (const [file, problems] of configurationFindings) findings.set(file, problems)
+  if (findings.size === 0) throw new CommandError('nothing to check: use --settings, --plans, --limits, --job, --platform, --deploy or --configuration FILE', exitCodes.invalidInput.code)
   const invalid = [...findings].filter(([, problems]) => problems.length > 0)
   if (flags.json === true) {
-    context.print(JSON.stringify([...findings].map(([file, problems]) => ({ file, problems }))))
+    context.print(JSON.stringify([...findings].map(([file, problems]) => ({ file, problems, ...(file === flags.configuration && { changes }) }))))
   } else {
     for (const [file, problems] of invalid) for (const line of formatProblems(file, problems)) context.print(line)
     if (invalid.length === 0) context.print(`${formatCount(findings.size, 'file')} checked, no problems`)
+    if (changes !== undefined) for (const line of formatConfigurationChanges(flags, changes)) context.print(line)
   }
   return invalid.length === 0 ? exitCodes.success.code : exitCodes.invalidInput.code
 }
--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -43,8 +43,11 @@
     .option('--job <file>', 'Job file')
     .option('--platform <file>', 'Settings file of the platform build; repeatable')
     .option('--deploy <file>', 'Deploy file of the platform build')
+    .option('--configuration <file>', "Operator's configuration of the platform build")
+    .option('--in-force <file>', 'Configuration in force; with --configuration, shows what differs')
+    .option('--settings-targets <file>', 'JSON array of the values with which targets register themselves; with --configuration, every service must have a target')
     .option('--json', 'Print JSON')
-    .example('  sesamereel check --settings gent-1.0.json --settings gent-1.1.json\n  sesamereel check --plans plans.json --limits limits.json')
+    .example('  sesamereel check --settings gent-1.0.json --settings gent-1.1.json\n  sesamereel check --plans plans.json --limits limits.json\n  sesamereel check --configuration next.json --in-force config.json')
     .action(async (flags: CheckFlags) => await runCheck(context, flags))
 
   addConnection(cli.command('status', 'Show instances, targets, shares and configuration versions'))
