Log and count incarnations; poll awaited targets often after time-outs too

The new decisions had no log line and no metric.

Change: an unresponsive target with unanswered orders is polled at short intervals whatever the failure. New: target-held, target-awaited and target-entry-known, the fields of the incarnation on target lines, outdatedListAgeMs on task-start, target_incarnations_total and outdated_entry_starts_total.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -30,12 +30,6 @@
  */
 const maxListAgeMs = 3_000
 
-/**
- * Age in milliseconds of the list of targets from which the store counts as unavailable, so that a restarted target whose
- * entry is not known may be used without labels. The list is read more often than this while an entry is awaited.
- */
-const staleListMs = 1_000
-
 /** Longest time in milliseconds of that wait; the store may be away. */
 const maxListWaitMs = 300
 
@@ -89,7 +83,7 @@
     this.#options = options
     this.#token = options.token
     this.#startedAt = options.clock.now()
-    this.#sessionContexts = new SessionContexts(options.limits.lateOrderMs, () => this.#token, () => { options.requestToken?.() }, () => options.measureListAgeMs() > staleListMs)
+    this.#sessionContexts = new SessionContexts(options.limits.lateOrderMs, () => this.#token, () => { options.requestToken?.() }, options.measureListAgeMs)
     this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics)
     this.#intake = new JobIntake(this.#state)
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
@@ -271,7 +265,9 @@
     const session = this.#state.sessions.get(target.id)
     if (session !== undefined && session.info.address === target.address) {
       if (target.draining && !session.info.draining) this.#state.log('belief', 'target-draining', { target: target.id, revision: target.revision })
+      const { awaitsEntry } = session
       session.updateInfo(target)
+      if (awaitsEntry && !session.awaitsEntry) this.#state.log('belief', 'target-entry-known', { target: target.id, revision: target.revision, bornMs: target.bornMs, awaitedMs: Math.round(this.#state.now() - session.bornSeenAt) })
       return
     }
     if (session !== undefined) this.#retainFormerSession(session)
--- a/packages/fleet/src/fleet-metrics.ts
+++ b/packages/fleet/src/fleet-metrics.ts
@@ -16,6 +16,10 @@
    * @param isAlone - whether only tasks of one job ran at the target
    */
   abstract countTargetLoss (evidence: string, isAlone: boolean): void
+  /** Counts restarted targets, those that are held for want of a token, and crashed ones that are polled at short intervals. */
+  abstract countIncarnation (event: string): void
+  /** Counts a start by the list entry of an earlier incarnation. */
+  abstract countOutdatedStart (): void
   /** Counts a target that reported a higher fencing token than the dispatcher's. */
   abstract countSuperseded (): void
   /**
@@ -37,6 +41,8 @@
   override countSecondRun (): void {}
   override countReleasedTasks (): void {}
   override countTargetLoss (): void {}
+  override countIncarnation (): void {}
+  override countOutdatedStart (): void {}
   override countSuperseded (): void {}
   override observeQueueWait (): void {}
   override countAnswer (): void {}
--- a/packages/fleet/src/poll-loop.ts
+++ b/packages/fleet/src/poll-loop.ts
@@ -42,7 +42,8 @@
    * @param chooseWait - returns how long the target may wait for the end of a run before it answers, in milliseconds
    * @param poll - polls once and tells whether the target answered
    * @param onError - receives the first of a series of unexpected errors, which count as polls without an answer
-   * @param choosePause - chooses the pause after each poll without an answer, by the usual one, in milliseconds
+   * @param choosePause - chooses the pause in milliseconds after a poll without an answer, by the usual one and by whether the
+   *   connection ended before the time-out; called with 0 after an answer
    */
   constructor (clock: Clock, chooseWait: () => number, poll: (waitMs: number) => Promise<boolean>, onError: (error: unknown) => void, choosePause: (usualMs: number, hasFailedFast: boolean) => number = usualMs => usualMs) {
     this.#clock = clock
--- a/packages/fleet/src/poll-pacer.ts
+++ b/packages/fleet/src/poll-pacer.ts
@@ -5,8 +5,8 @@
 const intervalPerTargetMs = 3
 
 /**
- * Chooses the interval between polls of targets whose hosts refuse connections while an order without an answer may
- * still be carried out there. The interval bounds the time in which a restarted target may carry out such an order unnoticed.
+ * Chooses the interval between polls of unresponsive targets while an order without an answer may still be carried out
+ * there. The interval bounds the time in which a restarted target may carry out such an order unnoticed.
  * Load pattern: targets crash under orders; one of them restarts before the order arrives. Many targets may be down at once.
  */
 export class PollPacer {
@@ -17,7 +17,7 @@
 
   /**
    * @param poller - whose next pause this is
-   * @param isNeeded - whether its target refuses connections and may carry out an unanswered order
+   * @param isNeeded - whether its target is unresponsive and may carry out an unanswered order
    * @param usualMs - the pause otherwise, in milliseconds
    * @returns the pause in milliseconds
    */
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -17,6 +17,8 @@
   readonly #secondRuns = this.#createCounter('second_runs_total', 'Runs that a target listed while another run of their task might exist', [])
   readonly #releasedTasks = this.#createCounter('released_tasks_total', 'Tasks that may start again after a takeover, by the evidence that their earlier runs have ended', ['evidence'])
   readonly #targetLosses = this.#createCounter('target_losses_total', 'Losses of a target under a task, by the evidence and by whether other jobs had tasks there', ['evidence', 'alone'])
+  readonly #incarnations = this.#createCounter('target_incarnations_total', 'Targets that restarted, were held for want of a token, or were polled at short intervals after a crash', ['event'])
+  readonly #outdatedStarts = this.#createCounter('outdated_entry_starts_total', 'Starts by the list entry of an earlier incarnation of the target', [])
   readonly #waitSeconds = this.#createHistogram('wait_seconds', 'Time from acceptance to the first start, as predicted at admission and as measured', ['kind'])
   readonly #answerSeconds = this.#createHistogram('answer_seconds', 'Time from acceptance of a job to the answer to its caller', ['outcome'])
 
@@ -49,6 +51,14 @@
     this.#targetLosses.inc({ evidence, alone: String(isAlone) })
   }
 
+  override countIncarnation (event: string): void {
+    this.#incarnations.inc({ event })
+  }
+
+  override countOutdatedStart (): void {
+    this.#outdatedStarts.inc()
+  }
+
   override observeQueueWait (predictedMs: number, actualMs: number): void {
     this.#waitSeconds.observe({ kind: 'predicted' }, predictedMs / 1_000)
     this.#waitSeconds.observe({ kind: 'real' }, actualMs / 1_000)
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -133,7 +133,8 @@
   }
 
   override onTargetChanged (session: TargetSession, change: TargetChange): void {
-    if (change !== 'polled') this.#state.log('belief', `target-${change}`, { target: session.info.id, domain: session.info.domain, runs: session.runs.size })
+    if (change !== 'polled') this.#state.log('belief', `target-${change}`, { target: session.info.id, domain: session.info.domain, runs: session.runs.size, ...session.incarnationFields })
+    if (change === 'restarted' || change === 'held' || change === 'awaited') this.#state.metrics.countIncarnation(change)
     if (change !== 'polled') this.#lossTracker.settleLosses(session)
     this.#checkRuns(session)
     this.#events.onChange()
--- a/packages/fleet/src/session-contexts.ts
+++ b/packages/fleet/src/session-contexts.ts
@@ -11,13 +11,13 @@
   readonly unansweredOrders: UnansweredOrders
   readonly tokens: IncarnationTokens
   readonly pollPacer: PollPacer
-  /** Returns whether the list of targets has not been current for so long that the store counts as unavailable. */
-  readonly isListStale: () => boolean
+  /** Returns the milliseconds since the list of targets was last known to be current. */
+  readonly measureListAgeMs: () => number
 }
 
 /** @returns the context of a session that shares nothing */
 export function createSessionContext (readToken: () => number, lateOrderMs: number): SessionContext {
-  return { unansweredOrders: new UnansweredOrders(lateOrderMs), tokens: new IncarnationTokens(readToken), pollPacer: new PollPacer(), isListStale: () => false }
+  return { unansweredOrders: new UnansweredOrders(lateOrderMs), tokens: new IncarnationTokens(readToken), pollPacer: new PollPacer(), measureListAgeMs: () => 0 }
 }
 
 /** The contexts of one dispatcher's sessions, by the ids of the targets. */
@@ -25,7 +25,7 @@
   readonly #lateOrderMs: number
   readonly #readToken: () => number
   readonly #requestToken: () => void
-  readonly #isListStale: () => boolean
+  readonly #measureListAgeMs: () => number
   readonly #pollPacer = new PollPacer()
   /** The least recently used first. */
   readonly #contexts = new Map<string, SessionContext>()
@@ -36,12 +36,13 @@
    * @param lateOrderMs - time in milliseconds after which an unanswered order can no longer be carried out
    * @param readToken - returns the dispatcher's current token
    * @param requestToken - asks for a higher one
+   * @param measureListAgeMs - returns the milliseconds since the list of targets was last known to be current
    */
-  constructor (lateOrderMs: number, readToken: () => number, requestToken: () => void, isListStale: () => boolean) {
+  constructor (lateOrderMs: number, readToken: () => number, requestToken: () => void, measureListAgeMs: () => number) {
     this.#lateOrderMs = lateOrderMs
     this.#readToken = readToken
     this.#requestToken = requestToken
-    this.#isListStale = isListStale
+    this.#measureListAgeMs = measureListAgeMs
   }
 
   /** @returns the context of the sessions with a target */
@@ -55,13 +56,14 @@
 
   #createContext (): SessionContext {
     const tokens = new IncarnationTokens(this.#readToken, this.#requestToken, this.#evictedToken)
-    return { unansweredOrders: new UnansweredOrders(this.#lateOrderMs), tokens, pollPacer: this.#pollPacer, isListStale: this.#isListStale }
+    return { unansweredOrders: new UnansweredOrders(this.#lateOrderMs), tokens, pollPacer: this.#pollPacer, measureListAgeMs: this.#measureListAgeMs }
   }
 
   #evict (): void {
     if (this.#contexts.size <= maxTargets) return
-    const [[oldest, { tokens }]] = this.#contexts as unknown as Iterable<[string, SessionContext]> as [[string, SessionContext]]
-    this.#contexts.delete(oldest)
+    const [oldest] = this.#contexts.keys()
+    const { tokens } = this.#contexts.get(oldest!)!
+    this.#contexts.delete(oldest!)
     this.#evictedToken = Math.max(this.#evictedToken, tokens.highestSent)
   }
 }
--- a/packages/fleet/src/session-observer.ts
+++ b/packages/fleet/src/session-observer.ts
@@ -7,9 +7,10 @@
  * `seen`: the first poll of an incarnation was answered; `silent`: the target became unresponsive;
  * `polled`: a poll was answered or the stop of an earlier order was settled, and free capacity may
  * have changed; `held`: no token is left that fences requests to earlier incarnations, so that the target is not used until
- * they are too old or the dispatcher has a higher token.
+ * they are too old or the dispatcher has a higher token; `awaited`: it is unresponsive, and its next incarnation may carry out
+ * an unanswered order, so that it is polled at short intervals.
  */
-export type TargetChange = 'seen' | 'silent' | 'regained' | 'restarted' | 'held' | 'polled'
+export type TargetChange = 'seen' | 'silent' | 'regained' | 'restarted' | 'held' | 'awaited' | 'polled'
 
 /**
  * Callbacks from a target session to its dispatcher, which handles them synchronously and starts no
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -1,5 +1,6 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type Demand } from '@sesamereel/state'
+import { type LogFields } from './event-log.js'
 import { IncarnationEntry } from './incarnation-entry.js'
 import { IncarnationFence } from './incarnation-fence.js'
 import { parseTaskName } from './job-types.js'
@@ -37,6 +38,12 @@
  */
 export const maxBusyWaitMs = 90
 
+/**
+ * Age in milliseconds of the list of targets from which the store counts as unavailable, so that a restarted target whose
+ * entry is not known may be used without labels. The list is read more often than this while an entry is awaited.
+ */
+const staleListMs = 1_000
+
 /**
  * Time in milliseconds for which the entry of a restarted target is awaited although the list is not current: without
  * changes a watch call takes 1 s, so only a read that follows the restart tells whether the store is available.
@@ -63,6 +70,18 @@
   readonly #fence: IncarnationFence
   /** Unix time in milliseconds at which the current incarnation of the target started. */
   #bornMs: number | undefined
+  /** Age in milliseconds of the list, if tasks start here by an outdated entry of it. */
+  get outdatedListAgeMs (): number | undefined {
+    return this.awaitsEntry ? Math.round(this.#context.measureListAgeMs()) : undefined
+  }
+
+  /** What the session knows of the target's incarnation, for the log. */
+  get incarnationFields (): LogFields {
+    const { tokens, unansweredOrders } = this.#context
+    const { requiredToken } = this.#fence
+    return { bornMs: this.#bornMs, entryBornMs: this.#entry.listed.bornMs, token: tokens.current, requiredToken: requiredToken > 0 ? requiredToken : undefined, unanswered: unansweredOrders.list(this.#clock.now()).length }
+  }
+
   /** Monotonic local time in milliseconds at which the first view of the current incarnation arrived. */
   #bornSeenAt = -Infinity
   /** Number of the last end of a run that was processed. */
@@ -80,6 +99,8 @@
   readonly #orderBlocker: OrderBlocker
   readonly #pollLoop: PollLoop
   #isPollingNow = false
+  /** Whether the next incarnation is awaited with polls at short intervals. */
+  #isAwaited = false
   #lastViewAt = -Infinity
 
   /**
@@ -142,7 +163,7 @@
 
   /** @returns whether the entry of the current incarnation was awaited long enough, and the store is unavailable */
   #isEntryUnavailable (now: number): boolean {
-    return now - this.#bornSeenAt >= entryWaitMs && this.#context.isListStale()
+    return now - this.#bornSeenAt >= entryWaitMs && this.#context.measureListAgeMs() > staleListMs
   }
 
   /** Starts to poll the target. */
@@ -409,12 +430,15 @@
   }
 
   /**
-   * Chooses the pause before the next poll of a target that has not answered. While no process answers there, and the next
-   * one may carry out an unanswered order, the target is polled often, with a token that the next incarnation is to have.
+   * Chooses the pause before the next poll of a target that has not answered. While its next incarnation may carry out an
+   * unanswered order, the target is polled often, and once its process has ended with a token that the next one is to have.
    */
   #choosePause (usualMs: number, hasFailedFast: boolean): number {
-    const isNeeded = this.#silent && hasFailedFast && this.#context.unansweredOrders.list(this.#clock.now()).length > 0
-    if (isNeeded) this.#context.tokens.prepareIncarnation()
+    const isNeeded = this.#silent && this.#context.unansweredOrders.list(this.#clock.now()).length > 0
+    // A cut of the network is short at times, and a token must not be used for each.
+    if (isNeeded && hasFailedFast) this.#context.tokens.prepareIncarnation()
+    if (isNeeded && !this.#isAwaited) this.#observer.onTargetChanged(this, 'awaited')
+    this.#isAwaited = isNeeded
     return this.#context.pollPacer.choosePauseMs(this, isNeeded, usualMs)
   }
 
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -129,7 +129,9 @@
     const run = session.startRun(task.name, attempt, job.spec.payload, job.getStep(task).demand, now)
     this.#state.runs.set(task.name, { session, run })
     this.#isolation.recordStart(session, job, task)
-    this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100 })
+    const { outdatedListAgeMs } = session
+    if (outdatedListAgeMs !== undefined) this.#state.metrics.countOutdatedStart()
+    this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100, outdatedListAgeMs })
   }
 }
 
