--- a/packages/fleet/test/restarted-target-keeps-earlier-labels.test.ts
+++ b/packages/fleet/test/restarted-target-keeps-earlier-labels.test.ts
@@ -86,11 +86,14 @@
     fixture.dispatcher.updateTargets([describeTarget(1, 'kind-a')])
     fixture.listAgeMs = 5_000
     await restart(fixture)
+    await advance(fixture, 300)
     submit(fixture, 'aaaaaaaaaaaaaaaa', { requiredLabel: 'kind-a' })
     submit(fixture, 'bbbbbbbbbbbbbbbb', { processors: 5_000 })
     submit(fixture, 'cccccccccccccccc', { processors: 5_000 })
     await advance(fixture, 800)
     assert.deepEqual(fixture.target.starts.map(order => order.task), ['bbbbbbbbbbbbbbbb.0.0.0'])
+    const rejected = fixture.owner.received.flatMap(message => message.type === 'rejected' ? [`${message.jobId} ${message.reason}`] : [])
+    assert.deepEqual(rejected, ['aaaaaaaaaaaaaaaa fits-no-target'])
     fixture.dispatcher.stop()
   })
 
