Compare the entry's incarnation once for each change

Cause: placement reads the entry of each target for each task, so that the comparison ran some thousand times for each job. Change: the result is kept.

--- a/packages/fleet/src/incarnation-entry.ts
+++ b/packages/fleet/src/incarnation-entry.ts
@@ -7,32 +7,32 @@
  * Load pattern: targets restart as another kind, also while the store is away, so that their entries are out of date.
  */
 export class IncarnationEntry {
-  #entry: TargetInfo
+  #listed: TargetInfo
   /** The smallest capacity, in each resource, that the entries have stated. */
   #smallestCapacity: Demand
   #bornMs: number | undefined
+  /** Kept rather than computed, as placement reads it for each task and target. */
+  #isOutdated = false
   #restricted: TargetInfo
 
   constructor (entry: TargetInfo) {
-    this.#entry = entry
+    this.#listed = entry
     this.#smallestCapacity = entry.capacity
     this.#restricted = { ...entry, labels: [] }
   }
 
   /** The entry as the list states it. */
-  get listed (): TargetInfo { return this.#entry }
+  get listed (): TargetInfo { return this.#listed }
 
   /** The part of an outdated entry by which tasks may start: no labels, and the smallest known capacity. */
   get restricted (): TargetInfo { return this.#restricted }
 
   /** @returns whether the entry is of another incarnation than the one that answers */
-  get isOutdated (): boolean {
-    return this.#bornMs !== undefined && this.#entry.bornMs !== undefined && this.#bornMs !== this.#entry.bornMs
-  }
+  get isOutdated (): boolean { return this.#isOutdated }
 
   /** Applies a newer entry of the list. */
   update (entry: TargetInfo): void {
-    this.#entry = entry
+    this.#listed = entry
     const { capacity } = entry
     this.#smallestCapacity = {
       processors: Math.min(this.#smallestCapacity.processors, capacity.processors),
@@ -40,10 +40,16 @@
       accelerators: Math.min(this.#smallestCapacity.accelerators, capacity.accelerators)
     }
     this.#restricted = { ...entry, labels: [], capacity: this.#smallestCapacity }
+    this.#compare()
   }
 
   /** Records the start of the incarnation that answers; undefined while it is unknown. */
   setBorn (bornMs: number | undefined): void {
     this.#bornMs = bornMs
+    this.#compare()
+  }
+
+  #compare (): void {
+    this.#isOutdated = this.#bornMs !== undefined && this.#listed.bornMs !== undefined && this.#bornMs !== this.#listed.bornMs
   }
 }
