--- a/packages/fleet/test/incarnation-fence.test.ts
+++ b/packages/fleet/test/incarnation-fence.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { ManualClock } from '@sesamereel/coordination'
-import { computeToken, createSessionContext, defaultFleetLimits, IncarnationTokens, type LossReason, type PollReply, type PollRequest, type Run, type RunningEntry, type SessionContext, SessionObserver, type StartOrder, type StartReply, type StopOrder, type StopReply, TargetConnection, type TargetChange, type TargetInfo, TargetSession, tokensPerHolder } from '../src/index.js'
+import { computeToken, createSessionContext, defaultFleetLimits, IncarnationTokens, type LossReason, type PollReply, type PollRequest, type Run, type RunningEntry, type SessionContext, SessionContexts, SessionObserver, type StartOrder, type StartReply, type StopOrder, type StopReply, TargetConnection, type TargetChange, type TargetInfo, TargetSession, tokensPerHolder } from '../src/index.js'
 
 const info: TargetInfo = { id: 't', address: 't', service: 's', domain: 'a', draining: false, capacity: { processors: 32_000, memoryMb: 100, accelerators: 0 }, labels: [], revision: 1 }
 const demand = { processors: 1_000, memoryMb: 1, accelerators: 0 }
@@ -216,4 +216,16 @@
     assert.equal(tokens.beginIncarnation(2), required)
     assert.equal(tokens.take(true), 17)
   })
+
+  it('of a target that was evicted from the contexts are not below those that it has seen', () => {
+    const contexts = new SessionContexts(defaultFleetLimits.lateOrderMs, () => 16, () => {}, () => 0)
+    const { tokens } = contexts.find('t')
+    tokens.take(true)
+    tokens.beginIncarnation(1)
+    tokens.beginIncarnation(2)
+    const highest = tokens.take(true)
+    for (let index = 0; index < 10_000; index++) contexts.find(`other-${index}`)
+    assert.notEqual(contexts.find('t').tokens, tokens)
+    assert.ok(contexts.find('t').tokens.take(true) >= highest)
+  })
 })
