--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -8,15 +8,16 @@
 import { type FleetMetrics } from './fleet-metrics.js'
 import { JobIntake } from './job-intake.js'
 import { type FleetLimits } from './limits.js'
+import { EntryRequests } from './entry-requests.js'
 import { type LoadSummary, type OwnerMessage } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
 import { startPeriodicTimer } from './periodic-timer.js'
 import { type LearnedRunTime } from './run-time-model.js'
 import { RunTracker } from './run-tracker.js'
+import { SessionContexts } from './session-contexts.js'
 import { TargetSession } from './target-session.js'
 import { type TargetConnector, type TargetInfo } from './target-types.js'
 import { TaskScheduler } from './task-scheduler.js'
-import { UnansweredOrders } from './unanswered-orders.js'
 
 /** Time in milliseconds by which a job is listed as lingering before its caller may resubmit it. */
 const resubmitMarginMs = 300
@@ -57,6 +58,10 @@
   readonly isContended?: (service: string) => boolean
   /** The drains of domains; undefined if domains can't be drained. */
   readonly drains?: DispatcherDrains
+  /** Reads the list of targets soon, because the entry of a restarted target is not known yet. */
+  readonly requestList?: () => void
+  /** Asks for a higher token, as those that fence earlier incarnations of a target run out. */
+  readonly requestToken?: () => void
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: () => void
 }
@@ -76,7 +81,8 @@
   readonly #scheduler: TaskScheduler
   readonly #mailbox: Mailbox<() => void>
   readonly #startedAt: number
-  readonly #unansweredOrders = new Map<string, UnansweredOrders>()
+  readonly #sessionContexts: SessionContexts
+  readonly #entryRequests = new EntryRequests()
   #listedTargetIds: ReadonlySet<string> = new Set()
   #token: number
   /** Whether the list has named every target that an earlier dispatcher may have used, at a time since this one began. */
@@ -89,6 +95,7 @@
     this.#options = options
     this.#token = options.token
     this.#startedAt = options.clock.now()
+    this.#sessionContexts = new SessionContexts(options.limits.lateOrderMs, () => this.#token, () => { options.requestToken?.() }, options.measureListAgeMs)
     this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics, options.isContended)
     this.#drain = new DrainDispatch(this.#state, options.domain, options.drains, () => { this.#mailbox.schedule() })
     this.#intake = new JobIntake(this.#state, this.#drain)
@@ -291,12 +298,14 @@
     const session = this.#state.sessions.get(target.id)
     if (session !== undefined && session.info.address === target.address) {
       if (target.draining && !session.info.draining) this.#state.log('belief', 'target-draining', { target: target.id, revision: target.revision })
+      const { awaitsEntry } = session
       session.updateInfo(target)
+      if (awaitsEntry && !session.awaitsEntry) this.#state.log('belief', 'target-entry-known', { target: target.id, revision: target.revision, bornMs: target.bornMs, awaitedMs: Math.round(this.#state.now() - session.bornSeenAt) })
       return
     }
     if (session !== undefined) this.#retainFormerSession(session)
     const { connector, clock, limits } = this.#options
-    const added = new TargetSession(target, connector.connect(target), () => this.#token, clock, limits, this.#tracker, this.#findUnansweredOrders(target.id))
+    const added = new TargetSession(target, connector.connect(target), () => this.#token, clock, limits, this.#tracker, this.#sessionContexts.find(target.id))
     this.#state.sessions.set(target.id, added)
     added.start()
   }
@@ -312,11 +321,11 @@
     this.#state.sessions.set(`${session.info.id} at ${session.info.address}`, session)
   }
 
-  /** @returns the orders that any session with the target has left unanswered */
-  #findUnansweredOrders (targetId: string): UnansweredOrders {
-    const orders = this.#unansweredOrders.get(targetId) ?? new UnansweredOrders(this.#options.limits.lateOrderMs)
-    this.#unansweredOrders.set(targetId, orders)
-    return orders
+  /** Reads the list soon while the entry of a restarted target is awaited. */
+  #requestEntries (now: number): void {
+    const awaited = this.listSessions().filter(session => session.awaitsEntry && !session.isSilent)
+    const awaitedSince = awaited.length > 0 ? Math.max(...awaited.map(session => session.bornSeenAt)) : undefined
+    if (this.#entryRequests.shouldRead(now, awaitedSince)) this.#options.requestList?.()
   }
 
   /** Drops targets that are no longer listed once their runs have ended. */
@@ -349,6 +358,7 @@
     this.#intake.shedQueuedJobs(now)
     this.#tracker.pollStaleTargets(now)
     this.#dropUnlistedTargets()
+    this.#requestEntries(now)
     for (const ownerId of owners.takeExpired(now)) {
       for (const job of [...jobs.values()]) {
         if (job.ownerId !== ownerId) continue
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -21,6 +21,8 @@
   readonly #cancellations = this.#createCounter('cancellations_total', 'Answers to cancellations by outcome', ['outcome'])
   readonly #cancelledSubmissions = this.#createCounter('cancelled_submissions_total', 'Submissions of cancelled jobs that were refused, by the part that refused them', ['by'])
   readonly #drainedJobs = this.#createCounter('drained_jobs_total', 'Jobs that a drained domain did not run, by what happened to them', ['outcome'])
+  readonly #incarnations = this.#createCounter('target_incarnations_total', 'Targets that restarted, were held for want of a token, or were polled at short intervals after a crash', ['event'])
+  readonly #outdatedStarts = this.#createCounter('outdated_entry_starts_total', 'Starts by the list entry of an earlier incarnation of the target', [])
   readonly #waitSeconds = this.#createHistogram('wait_seconds', 'Time from acceptance to the first start, as predicted at admission and as measured', ['kind'])
   readonly #answerSeconds = this.#createHistogram('answer_seconds', 'Time from acceptance of a job to the answer to its caller', ['outcome'])
 
@@ -53,6 +55,14 @@
     this.#targetLosses.inc({ evidence, alone: String(isAlone) })
   }
 
+  override countIncarnation (event: string): void {
+    this.#incarnations.inc({ event })
+  }
+
+  override countOutdatedStart (): void {
+    this.#outdatedStarts.inc()
+  }
+
   override observeQueueWait (predictedMs: number, actualMs: number): void {
     this.#waitSeconds.observe({ kind: 'predicted' }, predictedMs / 1_000)
     this.#waitSeconds.observe({ kind: 'real' }, actualMs / 1_000)
