Let tasks wait for a place near their data

Cause: placement takes a remote target as soon as no near one has room, so that runs take remoteFactor times as long although a near place may be free a moment later, and the longer runs take capacity from others.

Change: a task whose rack is occupied waits when a place there is expected in time. The wait is bounded by the time that the near run saves and by the latest remote start that is on time. Waiting tasks reserve nothing, and each counts on a place of its own.

--- a/packages/fleet/src/contention.ts
+++ b/packages/fleet/src/contention.ts
@@ -60,6 +60,11 @@
     return this.#runTimes.getMedian(formatQueueKey(job)) * this.#getUsualSlowness(job.spec.service)
   }
 
+  /** @returns the ratio of the predicted run time of a job's tasks at a target of slowness 1 to their estimate; 1 where nothing is learned */
+  getRunTimeRatio (job: DispatchedJob): number {
+    return this.#isContended(job.spec.service) ? this.#runTimes.getMedian(formatQueueKey(job)) : 1
+  }
+
   /** @returns a function that orders queued jobs of a service by when they start, to predict waits */
   createComparison (service: string, now: number): (a: DispatchedJob, b: DispatchedJob) => number {
     return this.#isContended(service) ? (a, b) => compareInOverload(a, b, now, this.predictRemainingMs) : compareJobs
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -7,6 +7,7 @@
 import { type FleetMetrics } from './fleet-metrics.js'
 import { JobIntake } from './job-intake.js'
 import { type FleetLimits } from './limits.js'
+import { createLocalityPolicy } from './locality-policy.js'
 import { type LoadSummary, type OwnerMessage } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
 import { startPeriodicTimer } from './periodic-timer.js'
@@ -54,6 +55,8 @@
   readonly cancelled?: CancelledJobs
   /** Whether the operator's configuration has queues of several priorities for a service; never if absent. */
   readonly isContended?: (service: string) => boolean
+  /** Whether tasks may wait for a place near their data; never if absent. */
+  readonly waitsForLocality?: boolean
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: () => void
 }
@@ -93,7 +96,7 @@
       onChange: () => { this.#mailbox.schedule() },
       onSuperseded: session => { this.#onSuperseded(session) }
     })
-    this.#scheduler = new TaskScheduler(this.#state, () => this.#token, options.remoteFactor)
+    this.#scheduler = new TaskScheduler(this.#state, () => this.#token, options.remoteFactor, createLocalityPolicy(this.#state, options.remoteFactor, options.waitsForLocality === true))
     this.#cancelMaintenance = startPeriodicTimer(options.clock, maintenanceIntervalMs, () => { this.#mailbox.post(() => { this.#runMaintenance() }) })
   }
 
--- a/packages/fleet/src/fleet-metrics.ts
+++ b/packages/fleet/src/fleet-metrics.ts
@@ -31,6 +31,10 @@
   abstract countCancellation (outcome: string): void
   /** Counts a submission of a cancelled job that was refused, by the part that refused it (`owner` or `dispatcher`). */
   abstract countCancelledSubmission (by: string): void
+  /** Counts a start of a task whose step names the rack of its data, there (`near`) or elsewhere (`remote`). */
+  abstract countLocalityStart (place: 'near' | 'remote'): void
+  /** Counts a start after a wait for a place near the data: `worthwhile` if the task got one. */
+  abstract countLocalityWait (outcome: 'worthwhile' | 'in-vain', durationMs: number): void
 }
 
 /** Discards all metrics; for tests. */
@@ -46,4 +50,6 @@
   override countAnswer (): void {}
   override countCancellation (): void {}
   override countCancelledSubmission (): void {}
+  override countLocalityStart (): void {}
+  override countLocalityWait (): void {}
 }
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -19,6 +19,8 @@
   readonly #targetLosses = this.#createCounter('target_losses_total', 'Losses of a target under a task, by the evidence and by whether other jobs had tasks there', ['evidence', 'alone'])
   readonly #cancellations = this.#createCounter('cancellations_total', 'Answers to cancellations by outcome', ['outcome'])
   readonly #cancelledSubmissions = this.#createCounter('cancelled_submissions_total', 'Submissions of cancelled jobs that were refused, by the part that refused them', ['by'])
+  readonly #localityStarts = this.#createCounter('locality_starts_total', 'Starts of tasks whose step names the rack of its data, there (near) or elsewhere (remote)', ['place'])
+  readonly #localityWaitSeconds = this.#createHistogram('locality_wait_seconds', 'Time that tasks waited for a place near their data, by whether they got one', ['outcome'])
   readonly #waitSeconds = this.#createHistogram('wait_seconds', 'Time from acceptance to the first start, as predicted at admission and as measured', ['kind'])
   readonly #answerSeconds = this.#createHistogram('answer_seconds', 'Time from acceptance of a job to the answer to its caller', ['outcome'])
 
@@ -69,6 +71,14 @@
     this.#cancelledSubmissions.inc({ by })
   }
 
+  override countLocalityStart (place: 'near' | 'remote'): void {
+    this.#localityStarts.inc({ place })
+  }
+
+  override countLocalityWait (outcome: 'worthwhile' | 'in-vain', durationMs: number): void {
+    this.#localityWaitSeconds.observe({ outcome }, durationMs / 1_000)
+  }
+
   countStoreCall (call: string, result: string): void {
     this.#storeCalls.inc({ call, result })
   }
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -1,6 +1,7 @@
 import { type DispatchState } from './dispatch-state.js'
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { type StepSpec } from './job-types.js'
+import { type LocalityPolicy } from './locality-policy.js'
 import { type Candidate, isEligible, pickTarget } from './placement.js'
 import { sortQueue } from './queue-order.js'
 import { SuspectIsolation } from './suspect-isolation.js'
@@ -31,16 +32,19 @@
   readonly #readToken: () => number
   readonly #remoteFactor: number
   readonly #isolation: SuspectIsolation
+  readonly #locality: LocalityPolicy
 
   /**
    * @param readToken - returns the dispatcher's current token
    * @param remoteFactor - ratio of a task's run time outside the rack of its data to its run time inside
+   * @param locality - decides which tasks wait for a place near their data
    */
-  constructor (state: DispatchState, readToken: () => number, remoteFactor: number) {
+  constructor (state: DispatchState, readToken: () => number, remoteFactor: number, locality: LocalityPolicy) {
     this.#state = state
     this.#readToken = readToken
     this.#remoteFactor = remoteFactor
     this.#isolation = new SuspectIsolation(state)
+    this.#locality = locality
   }
 
   /** Starts as many waiting tasks as fit, in the order of the queue, and tells the owners which jobs have started. */
@@ -56,6 +60,7 @@
     const smallestDemand = fitting.reduce((smallest, job) => Math.min(smallest, job.smallestDemand), Infinity)
     const hasRoom = ({ freeCapacity }: TargetSession | SessionCandidate): boolean => freeCapacity.processors >= smallestDemand
     this.#isolation.beginRound()
+    this.#locality.beginRound(usable, now)
     let round: Round = { now, elapsedLeadMs: this.#state.measureElapsedLead(), usable, candidates: usable.filter(hasRoom).map(session => new SessionCandidate(session)), fullFor: new Set() }
     const newlyStarted = new Map<string, string[]>()
     for (const job of sortQueue(fitting, now, this.#state.contention.predictRemainingMs)) {
@@ -81,6 +86,7 @@
         this.#reserveTarget(job, task, round)
         continue
       }
+      if (this.#locality.mustWait(job, task, target.session)) continue
       this.#startTask(job, task, target.session, round.now)
       count++
     }
@@ -129,7 +135,7 @@
     const run = session.startRun(task.name, attempt, job.spec.payload, job.getStep(task).demand, now)
     this.#state.runs.set(task.name, { session, run })
     this.#isolation.recordStart(session, job, task)
-    this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100, ...this.#state.contention.describeInputs(job) })
+    this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100, ...this.#locality.recordStart(job, task, session, now), ...this.#state.contention.describeInputs(job) })
   }
 }
 
--- a/packages/fleet/test/contention-replay.ts
+++ b/packages/fleet/test/contention-replay.ts
@@ -2,6 +2,7 @@
 import { DispatchEfficiency } from '../src/dispatch-efficiency.js'
 import { type FairShares, moveFirst } from '../src/fair-shares.js'
 import { computeUsualSlowness } from '../src/load-estimates.js'
+import { predictEndAt, RackForecast, shouldWait } from '../src/locality-wait.js'
 import { type RunTimeModel } from '../src/run-time-model.js'
 import { type UrgentHeadroom } from '../src/urgent-headroom.js'
 
@@ -25,6 +26,8 @@
   readonly model?: RunTimeModel
   readonly shares?: FairShares
   readonly headroom?: UrgentHeadroom
+  /** Whether tasks wait for a place near their data. */
+  readonly waitsForLocality?: boolean
 }
 
 export interface ReplayLoad {
@@ -41,6 +44,19 @@
   readonly speeds: readonly number[]
   /** Shares of the offered work by queue, in place of the usual ones. */
   readonly shares?: readonly number[]
+  /** Racks of the data; no step names one if absent. */
+  readonly racks?: ReplayRacks
+}
+
+export interface ReplayRacks {
+  /** Number of racks, to which the targets belong in turn. */
+  readonly count: number
+  /** Share of the jobs whose steps name a rack, and the share of these that name the first one. */
+  readonly share: number
+  readonly hotShare: number
+  readonly remoteFactor: number
+  /** Objective relative to the estimate, before 60 ms are added; 1.6 if absent. */
+  readonly slack?: number
 }
 
 /** Bursts of long jobs at targets of one speed. */
@@ -53,7 +69,7 @@
 export const flood: ReplayLoad = { targets: 16, seconds: 20, burstFactor: 1, burstLoad: 2, wave: 0, speeds: [1], shares: [0.5, 0.4, 0.1] }
 
 /** Answers of one queue, and the sum of the errors of the predicted waits. */
-export interface Tally { onTime: number, late: number, useless: number, rejected: number, waitErrorMs: number }
+export interface Tally { onTime: number, late: number, useless: number, rejected: number, waitErrorMs: number, near: number, remote: number, waitsNear: number, waitsRemote: number }
 
 const targetProcessors = 32_000
 /** Part of the processors that tasks of half a target get in practice. */
@@ -76,26 +92,31 @@
   readonly step: StepSpec
   started = false
   predictedWaitMs = 0
-  waiting: number
+  readonly waitingTasks: Set<number>
   left: number
 
-  constructor (id: string, priority: number, now: number, random: () => number) {
+  /** Times at which its tasks were first kept waiting for a near place. */
+  readonly waitingSince = new Map<number, number>()
+
+  constructor (id: string, priority: number, now: number, random: () => number, racks?: ReplayRacks) {
     const { width, runMs } = queues[priority]!
     this.id = id
     this.priority = priority
     this.acceptedAt = now
     this.remainingMs = runMs * (0.6 + 0.8 * random())
-    this.objectiveAt = now + 1.6 * this.remainingMs + 60
+    this.objectiveAt = now + (racks?.slack ?? 1.6) * this.remainingMs + 60
     this.usefulUntil = now + 3 * (this.objectiveAt - now)
     this.taskMs = Array.from({ length: width }, () => runMs * (0.95 + 0.1 * random()) * (random() < stragglerShare ? stragglerFactor : 1))
     this.latencyMs = this.taskMs.map(() => orderMs + endMs * 2 * random())
     const processors = Math.min(24_000, Math.round(16_000 * (0.8 + 0.4 * random())))
-    this.step = { count: width, demand: { processors, memoryMb: 0, accelerators: 0 }, estimateMs: this.remainingMs, after: [] }
-    this.waiting = width
+    this.step = { count: width, demand: { processors, memoryMb: 0, accelerators: 0 }, estimateMs: this.remainingMs, after: [], ...(racks === undefined ? {} : pickRack(racks, random)) }
+    // The last task starts first.
+    this.waitingTasks = new Set(Array.from({ length: width }, (_, index) => width - 1 - index))
     this.left = width
   }
 
   get queue (): string { return `s ${this.priority}` }
+  get waiting (): number { return this.waitingTasks.size }
   get waitingFraction (): number { return this.waiting / this.taskMs.length }
   get waitingWork (): number { return this.waiting * this.remainingMs * this.step.demand.processors }
 }
@@ -106,8 +127,8 @@
   readonly speed: number
   freeCapacity = { processors: targetProcessors, memoryMb: 1, accelerators: 0 }
 
-  constructor (index: number, speed: number) {
-    this.info = { id: `t${index}`, address: '', service: 's', domain: 'a', draining: false, capacity: this.freeCapacity, labels: [], revision: 1 }
+  constructor (index: number, speed: number, rackCount = 1) {
+    this.info = { id: `t${index}`, address: '', service: 's', domain: 'a', draining: false, capacity: this.freeCapacity, labels: [`rack-${index % rackCount}`], revision: 1 }
     this.speed = speed
   }
 
@@ -118,11 +139,16 @@
   }
 }
 
-interface ReplayRun { readonly job: ReplayJob, readonly target: ReplayTarget, readonly sentAt: number }
+interface ReplayRun { readonly job: ReplayJob, readonly target: ReplayTarget, readonly sentAt: number, readonly isRemote: boolean, readonly endAt: number }
+
+function pickRack ({ count, share, hotShare }: ReplayRacks, random: () => number): Pick<StepSpec, 'dataRack'> {
+  if (random() >= share) return {}
+  return { dataRack: `rack-${random() < hotShare ? 0 : 1 + Math.floor(random() * (count - 1))}` }
+}
 
 /** Plays one load with one set of decisions in steps of 1 ms; bounded by its seconds. */
 class Replay {
-  readonly tallies: readonly Tally[] = queues.map(() => ({ onTime: 0, late: 0, useless: 0, rejected: 0, waitErrorMs: 0 }))
+  readonly tallies: readonly Tally[] = queues.map(() => ({ onTime: 0, late: 0, useless: 0, rejected: 0, waitErrorMs: 0, near: 0, remote: 0, waitsNear: 0, waitsRemote: 0 }))
   readonly #policy: ReplayPolicy
   readonly #load: ReplayLoad
   readonly #random: () => number
@@ -138,7 +164,7 @@
     this.#policy = policy
     this.#load = load
     this.#random = createRandom(seed)
-    this.#targets = Array.from({ length: load.targets }, (_, index) => new ReplayTarget(index, load.speeds[index % load.speeds.length]!))
+    this.#targets = Array.from({ length: load.targets }, (_, index) => new ReplayTarget(index, load.speeds[index % load.speeds.length]!, load.racks?.count))
   }
 
   play (): readonly Tally[] {
@@ -153,7 +179,7 @@
       this.#ends.delete(now)
       if (now < endsAt) changed = this.#createArrivals(now) || changed
       if (now % 50 === 0) this.#maintain(now)
-      if (changed) this.#startTasks(now)
+      if (changed || (this.#policy.waitsForLocality === true && now % 50 === 0)) this.#startTasks(now)
     }
     return this.tallies
   }
@@ -174,7 +200,7 @@
       // At most two arrivals of a queue in a millisecond; the rates are far below one.
       for (let chance = perMs; chance > 0; chance--) {
         if (this.#random() >= chance) continue
-        this.#admit(new ReplayJob(`j${this.#nextId++}`, priority, now, this.#random), now)
+        this.#admit(new ReplayJob(`j${this.#nextId++}`, priority, now, this.#random, this.#load.racks), now)
         changed = true
       }
     }
@@ -229,18 +255,60 @@
 
   #startTasks (now: number): void {
     const limit = this.#policy.headroom?.computeLimit({ usableProcessors: this.#load.targets * targetProcessors, nextEndMs: this.#measureNextEndMs() }, now)
-    for (const job of this.#sort(now)) {
+    const sorted = this.#sort(now)
+    const isLoaded = sorted.length > 1
+    const forecasts = new Map<string, RackForecast>()
+    for (const job of sorted) {
       const isLong = limit !== undefined && this.#predictMs(job) > limit.longMs
-      while (job.waiting > 0) {
+      for (const task of [...job.waitingTasks]) {
         if (isLong && this.#sumLong(limit.longMs) + job.step.demand.processors > limit.maxLongProcessors) break
-        const target = pickTarget(this.#targets, 's', job.step, () => 0, 1)
+        const target = pickTarget(this.#targets, 's', job.step, () => 0, this.#load.racks?.remoteFactor ?? 1)
         if (target === undefined) break
-        this.#startTask(job, target, now)
+        if (this.#policy.waitsForLocality === true && this.#waits(job, task, target, isLoaded, forecasts, now)) continue
+        this.#startTask(job, task, target, now)
       }
       if (job.waiting === 0) this.#queue.delete(job)
     }
   }
 
+  #waits (job: ReplayJob, task: number, target: ReplayTarget, isLoaded: boolean, forecasts: Map<string, RackForecast>, now: number): boolean {
+    const { dataRack, demand } = job.step
+    if (dataRack === undefined || !isRemoteFor(job, target)) return false
+    const forecast = forecasts.get(dataRack) ?? this.#forecastRack(dataRack, now)
+    forecasts.set(dataRack, forecast)
+    const place = forecast.findPlace(demand)
+    if (place === undefined) return false
+    const nearMs = this.#predictRunMs(job, place.slowness)
+    const remoteMs = this.#predictRunMs(job, target.slowness) * this.#load.racks!.remoteFactor
+    const since = job.waitingSince.get(task) ?? now
+    if (!shouldWait({ now, since, nearAt: place.at, nearMs, remoteMs, restMs: 0, objectiveAt: job.objectiveAt, usefulUntil: job.usefulUntil, isLoaded })) return false
+    job.waitingSince.set(task, since)
+    place.claim(nearMs)
+    return true
+  }
+
+  #forecastRack (rack: string, now: number): RackForecast {
+    const near = this.#targets.filter(({ info }) => info.labels.includes(rack))
+    const runs = [...this.#running]
+    return new RackForecast(near.map(target => ({
+      id: target.info.id,
+      labels: target.info.labels,
+      free: target.freeCapacity,
+      slowness: target.slowness,
+      ends: runs.filter(run => run.target === target).map(run => {
+        const progressAt = Math.max(run.sentAt, now - now % 50)
+        const percent = Math.floor(100 * (progressAt - run.sentAt) / (run.endAt - run.sentAt))
+        const predictedMs = this.#predictRunMs(run.job, target.slowness) * (run.isRemote ? this.#load.racks!.remoteFactor : 1)
+        return { at: predictEndAt({ sentAt: run.sentAt, percent, progressAt }, predictedMs, now), demand: run.job.step.demand }
+      })
+    })))
+  }
+
+  /** Predicts the run time of a task near its data. */
+  #predictRunMs (job: ReplayJob, slowness: number): number {
+    return job.remainingMs * (this.#policy.model?.getMedian(job.queue) ?? 1) * slowness
+  }
+
   #measureNextEndMs (): number {
     let perMs = 0
     for (const { job } of this.#running) perMs += 1 / this.#predictMs(job)
@@ -253,15 +321,22 @@
     return sum
   }
 
-  #startTask (job: ReplayJob, target: ReplayTarget, now: number): void {
+  #startTask (job: ReplayJob, task: number, target: ReplayTarget, now: number): void {
     if (!job.started) this.tallies[job.priority]!.waitErrorMs += Math.abs(now - job.acceptedAt - job.predictedWaitMs)
-    job.waiting--
+    job.waitingTasks.delete(task)
     this.#policy.shares?.recordStarted(job.queue, job.remainingMs * job.step.demand.processors, now)
     job.started = true
     target.occupy(job.step.demand.processors)
-    const endAt = now + Math.round(job.taskMs[job.waiting]! * target.speed + job.latencyMs[job.waiting]!)
+    const isRemote = isRemoteFor(job, target)
+    if (job.step.dataRack !== undefined) {
+      const tally = this.tallies[job.priority]!
+      tally[isRemote ? 'remote' : 'near']++
+      if (job.waitingSince.has(task)) tally[isRemote ? 'waitsRemote' : 'waitsNear']++
+    }
+    const factor = isRemote ? this.#load.racks!.remoteFactor : 1
+    const endAt = now + Math.round(job.taskMs[task]! * target.speed * factor + job.latencyMs[task]!)
     const runs = this.#ends.get(endAt) ?? []
-    const run = { job, target, sentAt: now }
+    const run = { job, target, sentAt: now, isRemote, endAt }
     this.#running.add(run)
     runs.push(run)
     this.#ends.set(endAt, runs)
@@ -284,6 +359,10 @@
   }
 }
 
+function isRemoteFor (job: ReplayJob, target: ReplayTarget): boolean {
+  return job.step.dataRack !== undefined && !target.info.labels.includes(job.step.dataRack)
+}
+
 /** Plays one load and returns the answers by queue. */
 export function playReplay (policy: ReplayPolicy, load: ReplayLoad, seed: number): readonly Tally[] {
   return new Replay(policy, load, seed).play()
--- a/packages/fleet/test/contention.test.ts
+++ b/packages/fleet/test/contention.test.ts
@@ -18,7 +18,7 @@
 }
 
 function sumTallies (tallies: readonly Tally[]): Tally {
-  const sum = { onTime: 0, late: 0, useless: 0, rejected: 0, waitErrorMs: 0 }
+  const sum = { onTime: 0, late: 0, useless: 0, rejected: 0, waitErrorMs: 0, near: 0, remote: 0, waitsNear: 0, waitsRemote: 0 }
   for (const tally of tallies) for (const key of Object.keys(sum) as Array<keyof Tally>) sum[key] += tally[key]
   return sum
 }
