Put the floor under queue shares into use by an option

Cause: FairShares was built and tested, but no dispatcher used it, so that an operator whose urgent queues starve another had no remedy.

--- a/packages/fleet/src/contention.ts
+++ b/packages/fleet/src/contention.ts
@@ -1,6 +1,8 @@
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
+import { type LogFields } from './event-log.js'
 import { computeUsualSlowness } from './load-estimates.js'
-import { compareInOverload, compareJobs } from './queue-order.js'
+import { FairQueueFloor, NoQueueFloor, type QueueFloor } from './queue-floor.js'
+import { compareInOverload, compareJobs, sortQueue } from './queue-order.js'
 import { type LearnedRunTime, RunTimeModel } from './run-time-model.js'
 import { type TargetSession } from './target-session.js'
 
@@ -11,11 +13,17 @@
 export class Contention {
   readonly #isContended: (service: string) => boolean
   readonly #runTimes = new RunTimeModel()
+  /** Floor under the share of each queue of a contended service. */
+  readonly floor: QueueFloor
   #usualSlowness: ReadonlyMap<string, number> = new Map()
 
-  /** @param isContended - whether the operator's configuration has queues of at least two priorities for a service */
-  constructor (isContended: (service: string) => boolean) {
+  /**
+   * @param isContended - whether the operator's configuration has queues of at least two priorities for a service
+   * @param floorFraction - fraction for the floor of each queue of such a service; no floor if absent
+   */
+  constructor (isContended: (service: string) => boolean, floorFraction?: number) {
     this.#isContended = isContended
+    this.floor = floorFraction === undefined ? new NoQueueFloor() : new FairQueueFloor(floorFraction, isContended)
   }
 
   /** @returns whether queues of several priorities compete for the targets of the service */
@@ -54,6 +62,11 @@
     return job.remainingMs * this.getRatio(job)
   }
 
+  /** @returns a new list of jobs in the order in which they start */
+  sortQueue (jobs: readonly DispatchedJob[], now: number): DispatchedJob[] {
+    return this.floor.apply(sortQueue(jobs, now, this.predictRemainingMs), now, this.predictRemainingMs)
+  }
+
   /** @returns the ratio of the predicted run time of a job to its estimate; 1 where nothing is learned */
   getRatio (job: DispatchedJob): number {
     if (!this.#isContended(job.spec.service)) return 1
@@ -71,11 +84,12 @@
   }
 
   /** @returns the inputs of decisions about a job, for the log; none where nothing is learned */
-  describeInputs (job: DispatchedJob): Readonly<Record<string, number>> {
+  describeInputs (job: DispatchedJob): LogFields {
     const learned = this.#isContended(job.spec.service) ? this.#runTimes.describe(formatQueueKey(job)) : undefined
-    if (learned === undefined) return {}
+    const floor: LogFields = this.floor.isBelow(job) ? { belowFloor: true } : {}
+    if (learned === undefined) return floor
     const usualSlowness = this.#getUsualSlowness(job.spec.service)
-    return { runTimeRatio: round(learned.median), runTimeUpper: round(learned.upper), runTimeRuns: learned.runs, usualSlowness: round(usualSlowness) }
+    return { ...floor, runTimeRatio: round(learned.median), runTimeUpper: round(learned.upper), runTimeRuns: learned.runs, usualSlowness: round(usualSlowness) }
   }
 
   /** @returns what was learned for each queue, for metrics */
--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -102,9 +102,12 @@
   readonly #repeats = new RecentRecords<Repeat>(outcomeRetentionMs)
   #unreportedDone = new Map<string, number[]>()
 
-  /** @param isContended - whether queues of several priorities compete for the targets of a service */
-  constructor (clock: Clock, limits: FleetLimits, log: EventLog, metrics: FleetMetrics, isContended: (service: string) => boolean = () => false) {
-    this.contention = new Contention(isContended)
+  /**
+   * @param isContended - whether queues of several priorities compete for the targets of a service
+   * @param floorFraction - fraction for the floor of each of these queues; no floor if absent
+   */
+  constructor (clock: Clock, limits: FleetLimits, log: EventLog, metrics: FleetMetrics, isContended: (service: string) => boolean = () => false, floorFraction?: number) {
+    this.contention = new Contention(isContended, floorFraction)
     this.#clock = clock
     this.#limits = limits
     this.#log = log
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -55,6 +55,8 @@
   readonly cancelled?: CancelledJobs
   /** Whether the operator's configuration has queues of several priorities for a service; never if absent. */
   readonly isContended?: (service: string) => boolean
+  /** Fraction for the floor under the share of each queue of a contended service, above 0 and at most 1; no floor if absent. */
+  readonly queueFloor?: number | undefined
   /** Whether tasks may wait for a place near their data; never if absent. */
   readonly waitsForLocality?: boolean
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
@@ -88,7 +90,7 @@
     this.#options = options
     this.#token = options.token
     this.#startedAt = options.clock.now()
-    this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics, options.isContended)
+    this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics, options.isContended, options.queueFloor)
     this.#intake = new JobIntake(this.#state)
     this.#cancellations = new CancellationIntake(this.#state, options.cancelled ?? new CancelledJobs())
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
@@ -118,6 +120,11 @@
     return this.#state.contention.listRunTimes()
   }
 
+  /** @returns the queues whose jobs go first because their share of the targets is too small */
+  listQueuesBelowFloor (): readonly string[] {
+    return this.#state.contention.floor.listBelow()
+  }
+
   /** @returns the sessions of all targets */
   listSessions (): readonly TargetSession[] {
     return [...this.#state.sessions.values()]
@@ -339,6 +346,7 @@
     this.#state.measureEfficiency()
     this.#cancellations.check(now)
     this.#state.contention.update(this.#state.sessions.values(), now)
+    for (const { queue, offered, started, isBelow } of this.#state.contention.floor.update(now)) this.#state.log('belief', 'queue-floor', { queue, below: isBelow, offered: Math.round(offered), started: Math.round(started), fraction: this.#options.queueFloor })
     this.#intake.shedQueuedJobs(now)
     this.#tracker.pollStaleTargets(now)
     this.#dropUnlistedTargets()
--- a/packages/fleet/src/fair-shares.ts
+++ b/packages/fleet/src/fair-shares.ts
@@ -2,8 +2,8 @@
 const windowMs = 2_000
 const sliceMs = 100
 
-/** A queue goes first while its ratio of started to offered work is below this fraction of the ratio of all queues. */
-const floorFraction = 0.5
+/** Fraction of the ratio of all queues below which a queue's ratio of started to offered work puts it first, unless another one is given. */
+const defaultFraction = 0.5
 
 /** Queues of a service that are kept; the work of further ones is not compared. */
 const maxQueues = 64
@@ -14,8 +14,14 @@
   started: number
 }
 
-/** Work of one queue over the window. */
-class QueueWork {
+/** Work of one queue over the window, in milliseconds times thousandths of a core. */
+export interface QueueWork {
+  readonly queue: string
+  readonly offered: number
+  readonly started: number
+}
+
+class WorkWindow {
   readonly #slices: Slice[] = []
   offered = 0
   started = 0
@@ -62,10 +68,22 @@
  * Work is run time times processors, so that wide jobs are not worse off than narrow ones. Only the order of waiting
  * jobs changes, so no capacity is left idle. A new dispatcher begins with an empty window.
  *
- * No dispatcher uses it yet: in the replayed load it costs more answers than it brings, see docs/design/contention.md.
+ * In the replayed load it costs more answers than it brings, so that it is off by default, see docs/design/contention.md.
  */
 export class FairShares {
-  readonly #queues = new Map<string, QueueWork>()
+  readonly #queues = new Map<string, WorkWindow>()
+  readonly #fraction: number
+
+  constructor (fraction = defaultFraction) {
+    this.#fraction = fraction
+  }
+
+  /** @returns whether no queue has work in the window */
+  get isEmpty (): boolean { return this.#queues.size === 0 }
+
+  listQueues (): readonly QueueWork[] {
+    return [...this.#queues].map(([queue, { offered, started }]) => ({ queue, offered, started }))
+  }
 
   /** @param work - work of a job that was submitted, in milliseconds times thousandths of a core */
   recordOffered (queue: string, work: number, now: number): void {
@@ -96,15 +114,15 @@
     }
     const below = new Set<string>()
     if (this.#queues.size < 2 || offered <= 0) return below
-    const floor = floorFraction * started / offered
+    const floor = this.#fraction * started / offered
     for (const [queue, work] of this.#queues) if (work.offered > 0 && work.started / work.offered < floor) below.add(queue)
     return below
   }
 
-  #find (queue: string): QueueWork | undefined {
+  #find (queue: string): WorkWindow | undefined {
     let work = this.#queues.get(queue)
     if (work === undefined && this.#queues.size < maxQueues) {
-      work = new QueueWork()
+      work = new WorkWindow()
       this.#queues.set(queue, work)
     }
     return work
--- a/packages/fleet/src/job-intake.ts
+++ b/packages/fleet/src/job-intake.ts
@@ -7,7 +7,6 @@
 import { type Submission } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
 import { isEligible } from './placement.js'
-import { sortQueue } from './queue-order.js'
 
 /** Retry delay in milliseconds for a job that no listed target can run; also the longest for a job that is shed. */
 const noTargetRetryMs = 1_000
@@ -70,6 +69,7 @@
     }
     if (hasKnownRuns) job.started = true
     else if (submission.resubmitted && this.#repeatRejection(job)) return
+    if (!job.started) state.contention.floor.recordOffered(job, state.now())
     if (!job.started && this.#rejectUnlessAdmitted(job)) return
     this.#addJob(connection, job, findReleaseEvidence(job))
   }
@@ -103,7 +103,7 @@
   shedQueuedJobs (now: number): void {
     const { queue, contention } = this.#state
     if (queue.size === 0) return
-    const sorted = sortQueue([...queue], now, contention.predictRemainingMs)
+    const sorted = contention.sortQueue([...queue], now)
     for (const service of new Set(sorted.map(job => job.spec.service))) {
       const throughput = this.#state.estimateThroughput(service)
       const jobs = sorted.filter(job => job.spec.service === service)
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -3,7 +3,6 @@
 import { type StepSpec } from './job-types.js'
 import { type LocalityPolicy } from './locality-policy.js'
 import { type Candidate, isEligible, pickTarget } from './placement.js'
-import { sortQueue } from './queue-order.js'
 import { SuspectIsolation } from './suspect-isolation.js'
 import { isStartAllowed } from './target-losses.js'
 import { startWindowMs, type TargetSession } from './target-session.js'
@@ -63,7 +62,7 @@
     this.#locality.beginRound(usable, now)
     let round: Round = { now, elapsedLeadMs: this.#state.measureElapsedLead(), usable, candidates: usable.filter(hasRoom).map(session => new SessionCandidate(session)), fullFor: new Set() }
     const newlyStarted = new Map<string, string[]>()
-    for (const job of sortQueue(fitting, now, this.#state.contention.predictRemainingMs)) {
+    for (const job of this.#state.contention.sortQueue(fitting, now)) {
       if (round.candidates.length === 0) break
       const wasStarted = job.started
       const startCount = this.#startTasksOf(job, round)
@@ -135,6 +134,7 @@
     const run = session.startRun(task.name, attempt, job.spec.payload, job.getStep(task).demand, now)
     this.#state.runs.set(task.name, { session, run })
     this.#isolation.recordStart(session, job, task)
+    this.#state.contention.floor.recordStarted(job, task, now)
     this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100, ...this.#locality.recordStart(job, task, session, now), ...this.#state.contention.describeInputs(job) })
   }
 }
--- a/packages/fleet/test/contention.test.ts
+++ b/packages/fleet/test/contention.test.ts
@@ -72,7 +72,7 @@
 })
 
 describe('shares under contention', () => {
-  // Guards the floor only: the sum of answers on time falls, so that no dispatcher uses the shares yet.
+  // Guards the floor only: the sum of answers on time falls, so that dispatchers use the shares only with a fraction.
   it('let a queue start that more urgent ones would starve', () => {
     const without = playSeeds(() => ({ model: new RunTimeModel() }), flood, 4)
     const shared = playSeeds(() => ({ model: new RunTimeModel(), shares: new FairShares() }), flood, 4)
