State precisely what a test of locality waits guards against

Cause: the comment also claimed the case that no target changes, which the polls of the test exclude.

Change and result: comment only; the tests of the file pass.

--- a/packages/fleet/test/locality-wait-in-dispatcher.test.ts
+++ b/packages/fleet/test/locality-wait-in-dispatcher.test.ts
@@ -84,7 +84,7 @@
     assert.deepEqual(fixture.metrics.counts, ['near', 'near', 'worthwhile'])
   })
 
-  // Guards against a wait that nothing ends because no target changes, and against one that begins anew each time.
+  // Guards against a wait that begins anew in each round while the place is late.
   it('starts remotely when the place does not become free in time', async () => {
     const fixture = new Fixture()
     await fixture.occupyNear()
