--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -9,6 +9,7 @@
 import { JobIntake } from './job-intake.js'
 import { type FleetLimits } from './limits.js'
 import { EntryRequests } from './entry-requests.js'
+import { createLocalityPolicy } from './locality-policy.js'
 import { type LoadSummary, type OwnerMessage } from './messages.js'
 import { type OwnerConnection } from './owner-registry.js'
 import { startPeriodicTimer } from './periodic-timer.js'
@@ -62,6 +63,10 @@
   readonly requestList?: () => void
   /** Asks for a higher token, as those that fence earlier incarnations of a target run out. */
   readonly requestToken?: () => void
+  /** Fraction for the floor under the share of each queue of a contended service, above 0 and at most 1; no floor if absent. */
+  readonly queueFloor?: number | undefined
+  /** Whether tasks may wait for a place near their data; never if absent. */
+  readonly waitsForLocality?: boolean
   /** Called when a target refuses a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: () => void
 }
@@ -96,7 +101,7 @@
     this.#token = options.token
     this.#startedAt = options.clock.now()
     this.#sessionContexts = new SessionContexts(options.limits.lateOrderMs, () => this.#token, () => { options.requestToken?.() }, options.measureListAgeMs)
-    this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics, options.isContended)
+    this.#state = new DispatchState(options.clock, options.limits, options.log, options.metrics, options.isContended, options.queueFloor)
     this.#drain = new DrainDispatch(this.#state, options.domain, options.drains, () => { this.#mailbox.schedule() })
     this.#intake = new JobIntake(this.#state, this.#drain)
     this.#cancellations = new CancellationIntake(this.#state, options.cancelled ?? new CancelledJobs())
@@ -105,7 +110,7 @@
       onChange: () => { this.#mailbox.schedule() },
       onSuperseded: session => { this.#onSuperseded(session) }
     })
-    this.#scheduler = new TaskScheduler(this.#state, () => this.#token, options.remoteFactor)
+    this.#scheduler = new TaskScheduler(this.#state, () => this.#token, options.remoteFactor, createLocalityPolicy(this.#state, options.remoteFactor, options.waitsForLocality === true))
     this.#cancelMaintenance = startPeriodicTimer(options.clock, maintenanceIntervalMs, () => { this.#mailbox.post(() => { this.#runMaintenance() }) })
   }
 
@@ -127,6 +132,11 @@
     return this.#state.contention.listRunTimes()
   }
 
+  /** @returns the queues whose jobs go first because their share of the targets is too small */
+  listQueuesBelowFloor (): readonly string[] {
+    return this.#state.contention.floor.listBelow()
+  }
+
   /** @returns the sessions of all targets */
   listSessions (): readonly TargetSession[] {
     return [...this.#state.sessions.values()]
@@ -355,6 +365,7 @@
     this.#state.measureEfficiency()
     this.#cancellations.check(now)
     this.#state.contention.update(this.#state.sessions.values(), now)
+    for (const { queue, offered, started, isBelow } of this.#state.contention.floor.update(now)) this.#state.log('belief', 'queue-floor', { queue, below: isBelow, offered: Math.round(offered), started: Math.round(started), fraction: this.#options.queueFloor })
     this.#intake.shedQueuedJobs(now)
     this.#tracker.pollStaleTargets(now)
     this.#dropUnlistedTargets()
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -23,6 +23,8 @@
   readonly #drainedJobs = this.#createCounter('drained_jobs_total', 'Jobs that a drained domain did not run, by what happened to them', ['outcome'])
   readonly #incarnations = this.#createCounter('target_incarnations_total', 'Targets that restarted, were held for want of a token, or were polled at short intervals after a crash', ['event'])
   readonly #outdatedStarts = this.#createCounter('outdated_entry_starts_total', 'Starts by the list entry of an earlier incarnation of the target', [])
+  readonly #localityStarts = this.#createCounter('locality_starts_total', 'Starts of tasks whose step names the rack of its data, there (near) or elsewhere (remote)', ['place'])
+  readonly #localityWaitSeconds = this.#createHistogram('locality_wait_seconds', 'Time that tasks waited for a place near their data, by whether they got one', ['outcome'])
   readonly #waitSeconds = this.#createHistogram('wait_seconds', 'Time from acceptance to the first start, as predicted at admission and as measured', ['kind'])
   readonly #answerSeconds = this.#createHistogram('answer_seconds', 'Time from acceptance of a job to the answer to its caller', ['outcome'])
 
@@ -85,6 +87,14 @@
     this.#cancelledSubmissions.inc({ by })
   }
 
+  override countLocalityStart (place: 'near' | 'remote'): void {
+    this.#localityStarts.inc({ place })
+  }
+
+  override countLocalityWait (outcome: 'worthwhile' | 'in-vain', durationMs: number): void {
+    this.#localityWaitSeconds.observe({ outcome }, durationMs / 1_000)
+  }
+
   countStoreCall (call: string, result: string): void {
     this.#storeCalls.inc({ call, result })
   }
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -1,8 +1,8 @@
 import { type DispatchState } from './dispatch-state.js'
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { type StepSpec } from './job-types.js'
+import { type LocalityPolicy } from './locality-policy.js'
 import { type Candidate, isEligible, pickTarget } from './placement.js'
-import { sortQueue } from './queue-order.js'
 import { SuspectIsolation } from './suspect-isolation.js'
 import { isStartAllowed } from './target-losses.js'
 import { startWindowMs, type TargetSession } from './target-session.js'
@@ -31,16 +31,19 @@
   readonly #readToken: () => number
   readonly #remoteFactor: number
   readonly #isolation: SuspectIsolation
+  readonly #locality: LocalityPolicy
 
   /**
    * @param readToken - returns the dispatcher's current token
    * @param remoteFactor - ratio of a task's run time outside the rack of its data to its run time inside
+   * @param locality - decides which tasks wait for a place near their data
    */
-  constructor (state: DispatchState, readToken: () => number, remoteFactor: number) {
+  constructor (state: DispatchState, readToken: () => number, remoteFactor: number, locality: LocalityPolicy) {
     this.#state = state
     this.#readToken = readToken
     this.#remoteFactor = remoteFactor
     this.#isolation = new SuspectIsolation(state)
+    this.#locality = locality
   }
 
   /**
@@ -59,9 +62,10 @@
     const smallestDemand = fitting.reduce((smallest, job) => Math.min(smallest, job.smallestDemand), Infinity)
     const hasRoom = ({ freeCapacity }: TargetSession | SessionCandidate): boolean => freeCapacity.processors >= smallestDemand
     this.#isolation.beginRound()
+    this.#locality.beginRound(usable, now)
     let round: Round = { now, elapsedLeadMs: this.#state.measureElapsedLead(), usable, candidates: usable.filter(hasRoom).map(session => new SessionCandidate(session)), fullFor: new Set() }
     const newlyStarted = new Map<string, string[]>()
-    for (const job of sortQueue(fitting, now, this.#state.contention.predictRemainingMs)) {
+    for (const job of this.#state.contention.sortQueue(fitting, now)) {
       if (round.candidates.length === 0) break
       const wasStarted = job.started
       const startCount = this.#startTasksOf(job, round)
@@ -84,6 +88,7 @@
         this.#reserveTarget(job, task, round)
         continue
       }
+      if (this.#locality.mustWait(job, task, target.session)) continue
       this.#startTask(job, task, target.session, round.now)
       count++
     }
@@ -134,7 +139,8 @@
     this.#isolation.recordStart(session, job, task)
     const { outdatedListAgeMs } = session
     if (outdatedListAgeMs !== undefined) this.#state.metrics.countOutdatedStart()
-    this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100, outdatedListAgeMs, ...this.#state.contention.describeInputs(job) })
+    this.#state.contention.floor.recordStarted(job, task, now)
+    this.#state.log('order', 'task-start', { job: job.id, task: task.name, attempt, target: session.info.id, listRevision: session.info.revision, waitedMs: Math.round(run.sentAt - job.acceptedAt), slowness: Math.round(session.health.slowness * 100) / 100, outdatedListAgeMs, ...this.#locality.recordStart(job, task, session, now), ...this.#state.contention.describeInputs(job) })
   }
 }
 
--- a/packages/fleet/test/contention.test.ts
+++ b/packages/fleet/test/contention.test.ts
@@ -18,7 +18,7 @@
 }
 
 function sumTallies (tallies: readonly Tally[]): Tally {
-  const sum = { onTime: 0, late: 0, useless: 0, rejected: 0, waitErrorMs: 0 }
+  const sum = { onTime: 0, late: 0, useless: 0, rejected: 0, waitErrorMs: 0, near: 0, remote: 0, waitsNear: 0, waitsRemote: 0 }
   for (const tally of tallies) for (const key of Object.keys(sum) as Array<keyof Tally>) sum[key] += tally[key]
   return sum
 }
@@ -72,7 +72,7 @@
 })
 
 describe('shares under contention', () => {
-  // Guards the floor only: the sum of answers on time falls, so that no dispatcher uses the shares yet.
+  // Guards the floor only: the sum of answers on time falls, so that dispatchers use the shares only with a fraction.
   it('let a queue start that more urgent ones would starve', () => {
     const without = playSeeds(() => ({ model: new RunTimeModel() }), flood, 4)
     const shared = playSeeds(() => ({ model: new RunTimeModel(), shares: new FairShares() }), flood, 4)
