--- a/packages/emulator/src/drain-history.ts
+++ b/packages/emulator/src/drain-history.ts
@@ -1,7 +1,7 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type RunRecord } from './fleet-history.js'
 
-/** The time from the write of a request until its removal, in milliseconds. */
+/** The time from the write of a request until its removal, by the emulated clock in milliseconds; `Infinity` while it is in force. */
 interface DrainPeriod {
   readonly domain: string
   readonly requestedAt: number
@@ -20,6 +20,7 @@
     this.#boundMs = boundMs
   }
 
+  /** Number of drains that were requested. */
   get count (): number { return this.#periods.length }
 
   isDrained (domain: string): boolean {
@@ -35,6 +36,9 @@
   }
 
   /**
+   * Checks the runs against the periods in which their domains were drained.
+   *
+   * @param runs - all runs that have started
    * @param getDomain - returns the domain of a target
    * @returns a line for each run that started in a drained domain later than the bound
    */
--- a/packages/emulator/src/emulated-drains.ts
+++ b/packages/emulator/src/emulated-drains.ts
@@ -7,6 +7,7 @@
 /** Interval in milliseconds at which the table is listed, as by the platform build. */
 const relistIntervalMs = 3_000
 
+/** Passes rows of the table on as requests to drain domains. */
 class DrainReader extends TableEvidenceObserver {
   readonly #drains: DomainDrains
 
@@ -24,6 +25,7 @@
   }
 }
 
+/** Ignores the rows, which the reader of the evidence gets already. */
 class NoTableObserver extends TableObserver {
   override onRows (): void {}
 }
@@ -36,7 +38,14 @@
   readonly close: () => void
 }
 
-/** Creates the drains of an instance. The watch has a fixed jitter, so that the random choices of earlier seeds stay as they are. */
+/**
+ * Creates the drains of an instance. The watch has a fixed jitter, so that the random choices of earlier seeds stay as they are.
+ *
+ * @param instance - name of the instance
+ * @param domains - all failure domains
+ * @param evacuateMs - time in milliseconds after the write of a request from which no task may start in the domain
+ * @returns the drains; their watch is not started
+ */
 export function createEmulatedDrains (instance: string, domains: readonly string[], evacuateMs: number, store: MetadataStore, clock: Clock, log: EventLog): EmulatedDrains {
   const state = new DomainDrains({ instance, domains, evacuateMs, clock, log })
   const watch = new TableWatch(store, emulatedDrainTable, { relistIntervalMs, batchingPauseMs: 0, evidence: new DrainReader(state), listsDuringWatch: true, random: () => 0.5 }, clock, log, new NoTableObserver())
--- a/packages/emulator/src/operator-faults.ts
+++ b/packages/emulator/src/operator-faults.ts
@@ -6,7 +6,7 @@
 /** Probability with which the last domain that is in use is drained too. */
 const lastDomainProbability = 0.15
 
-/** What operators do while other faults are in force; kept apart so that the days of earlier seeds stay as they are. */
+/** Names of the faults that operators cause. They are a list of their own, so that the random choices of earlier seeds stay as they are. */
 export const operatorFaultNames = ['drain-domain'] as const
 
 /** Longest time in milliseconds by which a drain lasts longer than other faults, so that most outlast the bound of 5 s. */
@@ -15,6 +15,7 @@
 /** Interval in milliseconds at which the operator repeats a write that the store has not taken. */
 const retryMs = 100
 
+/** What the operators' faults act on. */
 export interface OperatorFaultOptions {
   readonly clock: Clock
   readonly random: RandomSource
@@ -33,7 +34,11 @@
     this.#options = options
   }
 
-  /** @returns a function that withdraws the drain some time later, or undefined if the store takes no write or the domain is drained already */
+  /**
+   * Drains a random domain.
+   *
+   * @returns a function that withdraws the drain some time later, or undefined if the store takes no write or the domain is drained already
+   */
   drainDomain (): (() => void) | undefined {
     const { random, store, history, domains, writeRequest, clock } = this.#options
     const domain = random.pick(domains)!
--- a/packages/fleet/src/cancellation-intake.ts
+++ b/packages/fleet/src/cancellation-intake.ts
@@ -11,7 +11,7 @@
  */
 const settleMs = 300
 
-/** Time in milliseconds after a takeover within which owners reconnect and submit their jobs; before it "not known" means nothing. */
+/** Time in milliseconds after a takeover within which owners reconnect and submit their jobs. Until then a job that is not known may exist. */
 const adoptionMs = 700
 
 /**
@@ -28,6 +28,7 @@
 
 const cancelledOutcome: JobOutcome = { kind: 'failed', reason: 'cancelled' }
 
+/** An answer to a cancellation that is not due yet. */
 interface DelayedAnswer {
   readonly connection: OwnerConnection
   readonly jobId: string
@@ -181,7 +182,10 @@
     return required > receivedElapsed && (ownerReachedAt === undefined || ownerReachedAt > receivedElapsed)
   }
 
-  /** A dispatcher that reaches only one owner and no target may be cut off from everything, so that it can confirm nothing. */
+  /**
+   * Reads until when owners have received everything. A dispatcher that reaches only one owner and no target may be cut off
+   * from everything, so that it can confirm nothing.
+   */
   #readConfirmations (now: number): OwnerConfirmations {
     const connected = this.#state.owners.listConnected()
     for (const ownerId of connected.keys()) {
@@ -199,6 +203,7 @@
     return { byOwner, required, all: Math.min(required, ...open) }
   }
 
+  /** Ends the jobs, and stops the runs, of records that another instance has sent. */
   #applyRecords (entries: readonly CancelledEntry[], now: number): void {
     for (const [jobId, recordAgeMs] of entries) {
       const job = this.#state.jobs.get(jobId)
--- a/packages/fleet/src/drained-starts.ts
+++ b/packages/fleet/src/drained-starts.ts
@@ -15,9 +15,9 @@
   /** Time at which this instance requested its newest list without the drain; `-Infinity` if it has read none. */
   readonly absentAt: number
   readonly now: number
-  /** Time after the write of the request from which no task may start. */
+  /** Time in milliseconds after the write of the request from which no task may start. */
   readonly evacuateMs: number
-  /** Time by which the last start order must precede that. */
+  /** Time in milliseconds by which the last start order must precede that. */
   readonly marginMs: number
 }
 
@@ -26,6 +26,8 @@
  * some jobs have tasks that run and others that wait, and they can end only in this domain, as no job moves after its first
  * start. The request was written after the newest list without it was requested, so the bound counts from then. A dispatcher
  * that has read no such list can't tell how old the request is.
+ *
+ * @returns the starts that are allowed at the time `now`
  */
 export function decideStartRule ({ isDrained, beganDrained, absentAt, now, evacuateMs, marginMs }: StartRuleInputs): StartRule {
   if (!isDrained) return { kind: 'all' }
--- a/packages/fleet/src/entry-requests.ts
+++ b/packages/fleet/src/entry-requests.ts
@@ -1,5 +1,7 @@
-/** Intervals in milliseconds between reads of the list while the entry of an incarnation is awaited: at first, and from `earlyMs` on. */
+/** Interval in milliseconds between reads of the list while the entry of an incarnation is awaited. */
 const earlyIntervalMs = 250
+
+/** The same from `earlyMs` on. It is below the age at which the list counts as not current. */
 const lateIntervalMs = 800
 
 /** Time in milliseconds within which a restarted target has usually written its entry. */
@@ -14,6 +16,8 @@
   #requestedAt = -Infinity
 
   /**
+   * Decides whether to read the list, and counts the read if so.
+   *
    * @param now - monotonic time in milliseconds
    * @param awaitedSince - time at which the newest of the awaited entries became needed; undefined if there is none
    * @returns whether the list is to be read now
--- a/packages/fleet/src/fair-shares.ts
+++ b/packages/fleet/src/fair-shares.ts
@@ -1,5 +1,7 @@
-/** Length in milliseconds of the window over which started and offered work are compared, and of its slices. */
+/** Length in milliseconds of the window over which started and offered work are compared. */
 const windowMs = 2_000
+
+/** Length in milliseconds of a slice of the window. */
 const sliceMs = 100
 
 /** A queue goes first while its ratio of started to offered work is below this fraction of the ratio of all queues. */
@@ -8,6 +10,7 @@
 /** Queues of a service that are kept; the work of further ones is not compared. */
 const maxQueues = 64
 
+/** Work of one queue in one slice, in milliseconds times thousandths of a core. */
 interface Slice {
   readonly index: number
   offered: number
@@ -62,17 +65,29 @@
  * Work is run time times processors, so that wide jobs are not worse off than narrow ones. Only the order of waiting
  * jobs changes, so no capacity is left idle. A new dispatcher begins with an empty window.
  *
- * No dispatcher uses it yet: in the replayed load it costs more answers than it brings, see docs/design/contention.md.
+ * No dispatcher uses it yet; docs/design/contention.md has the reasons.
  */
 export class FairShares {
   readonly #queues = new Map<string, QueueWork>()
 
-  /** @param work - work of a job that was submitted, in milliseconds times thousandths of a core */
+  /**
+   * Records the work of a job that was submitted.
+   *
+   * @param queue - key of the job's queue
+   * @param work - in milliseconds times thousandths of a core
+   * @param now - monotonic time in milliseconds
+   */
   recordOffered (queue: string, work: number, now: number): void {
     this.#find(queue)?.add(work, 0, now)
   }
 
-  /** @param work - work of a task that was started, in milliseconds times thousandths of a core */
+  /**
+   * Records the work of a task that was started.
+   *
+   * @param queue - key of the job's queue
+   * @param work - in milliseconds times thousandths of a core
+   * @param now - monotonic time in milliseconds
+   */
   recordStarted (queue: string, work: number, now: number): void {
     this.#find(queue)?.add(0, work, now)
   }
--- a/packages/fleet/src/fencing-tokens.ts
+++ b/packages/fleet/src/fencing-tokens.ts
@@ -12,6 +12,8 @@
  *
  * @param revision - revision of the domain's row
  * @param rank - 0 for the holder, from 1 for the successors that the row names
+ * @returns the token
+ * @throws RangeError when the rank is above that of the last successor
  */
 export function computeToken (revision: number, rank = 0): number {
   if (rank >= tokensPerRevision / tokensPerHolder) throw new RangeError(`no tokens for rank ${rank}`)
--- a/packages/fleet/src/incarnation-entry.ts
+++ b/packages/fleet/src/incarnation-entry.ts
@@ -4,15 +4,16 @@
 /**
  * The list entry of a target as far as it holds for the incarnation that answers polls. Labels, service and capacity
  * belong to one incarnation, and a later one may be of another kind.
- * Load pattern: targets restart as another kind, also while the store is away, so that their entries are out of date.
+ * Load pattern: targets restart as another kind, also while the store is unavailable, so that their entries are out of date.
  */
 export class IncarnationEntry {
   #listed: TargetInfo
   /** The smallest capacity, in each resource, that the entries have stated. */
   #smallestCapacity: Demand
   #bornMs: number | undefined
-  /** Kept rather than computed, as placement reads it for each task and target. */
+  /** Whether the entry is of another incarnation; stored, because placement reads it for each task and target. */
   #isOutdated = false
+  /** Stored for the same reason. */
   #restricted: TargetInfo
 
   constructor (entry: TargetInfo) {
@@ -27,7 +28,7 @@
   /** The part of an outdated entry by which tasks may start: no labels, and the smallest known capacity. */
   get restricted (): TargetInfo { return this.#restricted }
 
-  /** @returns whether the entry is of another incarnation than the one that answers */
+  /** Whether the entry is of another incarnation than the one that answers. */
   get isOutdated (): boolean { return this.#isOutdated }
 
   /** Applies a newer entry of the list. */
--- a/packages/fleet/src/incarnation-fence.ts
+++ b/packages/fleet/src/incarnation-fence.ts
@@ -7,6 +7,7 @@
  * 12 s later.
  */
 export class IncarnationFence {
+  /** Time in milliseconds after which no delayed request to an earlier incarnation has an effect any more. */
   readonly #holdMs: number
   #requiredToken = 0
   #heldUntil = -Infinity
@@ -16,7 +17,7 @@
     this.#holdMs = limits.lateOrderMs + limits.maxLeaseMs / slowestClockRate
   }
 
-  /** @returns the lowest token whose answer confirms the fence */
+  /** The lowest token whose answer confirms the fence. */
   get requiredToken (): number { return this.#requiredToken }
 
   /**
--- a/packages/fleet/src/incarnation-tokens.ts
+++ b/packages/fleet/src/incarnation-tokens.ts
@@ -1,6 +1,6 @@
 import { tokensPerHolder } from './fencing-tokens.js'
 
-/** Number of incarnations under one token from which a new token is asked for, so that it is there before it is needed. */
+/** Number of incarnations under one token from which a higher token is requested, so that it is available before it is needed. */
 const renewalStep = 2
 
 /**
@@ -34,7 +34,7 @@
     this.#minToken = minToken
   }
 
-  /** @returns the token of the next request */
+  /** Token of the next request. */
   get current (): number {
     const base = this.#readToken()
     if (base !== this.#base) {
@@ -44,10 +44,12 @@
     return Math.max(base + this.#step, this.#minToken)
   }
 
-  /** @returns the highest token that was sent to the target */
+  /** The highest token that was sent to the target; -1 before the first. */
   get highestSent (): number { return this.#highestSent }
 
   /**
+   * Takes the token for a request and records that it was sent.
+   *
    * @param isEffective - whether the request would change something in a later incarnation, other than to stop a run
    * @returns the token of the request, which is about to be sent
    */
@@ -82,6 +84,7 @@
     return this.#required
   }
 
+  /** Raises the token by one step if it is below the required one, and requests a higher base when the steps run out. */
   #advance (required: number): void {
     if (this.current >= required) return
     if (this.#step + 1 < tokensPerHolder) this.#step++
--- a/packages/fleet/src/job-cancellations.ts
+++ b/packages/fleet/src/job-cancellations.ts
@@ -5,6 +5,7 @@
 import { type FleetMetrics } from './fleet-metrics.js'
 import { type CancellationOutcome, PendingCancellations } from './pending-cancellations.js'
 
+/** What the cancellations of one instance depend on. */
 export interface JobCancellationsOptions {
   readonly clock: Clock
   readonly log: EventLog
@@ -12,6 +13,7 @@
   readonly cancelled: CancelledJobs
   /** Connections to the dispatchers of all domains, by domain. */
   readonly connections: ReadonlyMap<string, DispatcherConnection>
+  /** Returns whether this instance has an open job with the id. */
   readonly hasJob: (jobId: string) => boolean
   /** Cancels an open job of this instance at its dispatcher, and answers its callers. */
   readonly cancelOwnJob: (jobId: string, reason: string) => void
@@ -28,6 +30,7 @@
     this.#options = options
   }
 
+  /** Number of cancellations that not all dispatchers have answered. */
   get pendingCount (): number { return this.#pending.size }
 
   /** @returns whether a job with the id was cancelled lately, or is being cancelled here */
@@ -39,7 +42,8 @@
   /**
    * Accepts a caller's cancellation and sends it to the dispatchers of all domains. It stays pending until each has answered.
    *
-   * @param timeoutMs - time in milliseconds after which the caller is told that the outcome is not certain
+   * @param timeoutMs - time in milliseconds after which the outcome is `unconfirmed`
+   * @returns what is certain about the job
    */
   async cancel (jobId: string, timeoutMs: number): Promise<CancellationOutcome> {
     const { cancelled, clock, connections, cancelOwnJob } = this.#options
@@ -81,7 +85,12 @@
     for (const [jobId, wasKnown] of this.#pending.listUnanswered(connection.domain)) sendCancellation(connection, jobId, wasKnown)
   }
 
-  /** Handles a dispatcher's answer to a cancellation. */
+  /**
+   * Handles a dispatcher's answer to a cancellation.
+   *
+   * @param domain - the dispatcher's domain
+   * @param found - whether it has, or had, a job with the id
+   */
   onAnswer (domain: string, jobId: string, found: boolean): void {
     const { cancelled, clock, log } = this.#options
     const state = this.#pending.describe(jobId, clock.now())
@@ -110,7 +119,7 @@
     }
   }
 
-  /** A dispatcher did not know the job when it was cancelled: it was waiting here, or on its way. */
+  /** Cancels an open job that no dispatcher knew when it was cancelled, because it was waiting here or on its way. */
   #cancelByRecord (jobId: string, ageMs: number): void {
     const { cancelled, clock, connections, log, cancelOwnJob } = this.#options
     cancelled.markKnown(jobId, clock.now())
--- a/packages/fleet/src/pending-cancellations.ts
+++ b/packages/fleet/src/pending-cancellations.ts
@@ -14,6 +14,7 @@
   readonly isHeld: boolean
 }
 
+/** A cancellation that not every dispatcher has answered. */
 interface PendingCancellation {
   readonly acceptedAt: number
   /** Domains whose dispatcher has not answered. */
@@ -25,6 +26,7 @@
 
 /** State of a cancellation, for the log. */
 export interface CancellationState extends CancellationEvidence {
+  /** Domains whose dispatcher has not answered. */
   readonly unanswered: readonly string[]
   readonly ageMs: number
 }
@@ -38,6 +40,7 @@
   readonly #pending = new Map<string, PendingCancellation>()
   readonly #maxCount: number
 
+  /** @param maxCount - largest number of cancellations that are kept; the oldest are removed first */
   constructor (maxCount = maxCancelledJobs) {
     this.#maxCount = maxCount
   }
--- a/packages/fleet/src/poll-pacer.ts
+++ b/packages/fleet/src/poll-pacer.ts
@@ -12,10 +12,12 @@
 export class PollPacer {
   readonly #waiting = new Set<object>()
 
-  /** @returns the number of targets that are polled at short intervals */
+  /** Number of targets that are polled at short intervals. */
   get count (): number { return this.#waiting.size }
 
   /**
+   * Chooses the pause before the next poll of a target.
+   *
    * @param poller - whose next pause this is
    * @param isNeeded - whether its target is unresponsive and may carry out an unanswered order
    * @param usualMs - the pause otherwise, in milliseconds
--- a/packages/fleet/src/run-time-model.ts
+++ b/packages/fleet/src/run-time-model.ts
@@ -1,11 +1,15 @@
-/** Bounds of one observed ratio, and the width of a histogram bucket: predictions are accurate to half a bucket. */
+/** Bounds of one observed ratio of run time to estimate; ratios beyond them count as the nearest bound. */
 const minRatio = 0.1
 const maxRatio = 12
+
+/** Ratio of the upper to the lower end of a histogram bucket. Predictions are accurate to half a bucket. */
 const bucketFactor = 1.08
 const bucketCount = Math.ceil(Math.log(maxRatio / minRatio) / Math.log(bucketFactor))
 
-/** The sliding window: long enough for a few dozen runs of tasks that take a second, short enough to follow a change of load. */
+/** Length in milliseconds of a slice of the sliding window. */
 const sliceMs = 1_000
+
+/** Slices of the window: long enough for a few dozen runs of tasks that take a second, short enough to follow a change of load. */
 const sliceCount = 10
 
 /** Observations of one target that count in one slice, so that a target that ends runs too fast does not dominate the window. */
@@ -14,10 +18,7 @@
 /** Weight in observations of the prior, which is that runs take as long as estimated. */
 const priorWeight = 20
 
-/**
- * Quantile that predictions use. In the replayed load higher ones (0.7 to 0.9) defer jobs that can still be on time, and
- * so does that of the slowest of a job's parallel tasks, because an estimate is wrong for all tasks of a job alike.
- */
+/** Quantile that predictions use. Higher ones defer jobs that can still be on time, see docs/design/contention.md. */
 const predictedQuantile = 0.5
 
 /** Quantile that is reported beside the predicted one, to show stragglers. */
@@ -55,6 +56,11 @@
     this.#counts[findBucket(1)] = priorWeight
   }
 
+  /**
+   * Adds an observation, unless the target has enough of them in the present slice.
+   *
+   * @param ratio - run time relative to the estimate, corrected by the slowness of the target
+   */
   record (target: string, ratio: number, now: number): void {
     this.expire(now)
     const index = Math.floor(now / sliceMs)
@@ -85,6 +91,7 @@
     }
   }
 
+  /** Number of observations in the window, without the prior. */
   get total (): number { return this.#total }
 
   /** @returns the ratio that the given fraction of the runs stays below */
@@ -102,6 +109,7 @@
   }
 }
 
+/** @returns the index of the histogram bucket that contains the ratio */
 function findBucket (ratio: number): number {
   return Math.min(bucketCount - 1, Math.max(0, Math.floor(Math.log(ratio / minRatio) / Math.log(bucketFactor))))
 }
@@ -122,6 +130,7 @@
    * Records a run that ended with `done`.
    *
    * @param queue - key of the job's queue
+   * @param target - id of the target
    * @param ratio - time from the start order until the end was seen, relative to the estimate
    * @param slowness - slowness that was learned for the target before this run ended
    * @param usualSlowness - usual slowness of the targets of the service
--- a/packages/fleet/src/session-contexts.ts
+++ b/packages/fleet/src/session-contexts.ts
@@ -2,7 +2,7 @@
 import { PollPacer } from './poll-pacer.js'
 import { UnansweredOrders } from './unanswered-orders.js'
 
-/** Number of targets that are remembered; each has at most a few hundred bytes beside its unanswered orders. */
+/** Largest number of targets whose contexts are kept; each takes at most a few hundred bytes beside its unanswered orders. */
 const maxTargets = 10_000
 
 /** What the sessions of one dispatcher with one target share, and what outlives each of them. */
@@ -15,7 +15,13 @@
   readonly measureListAgeMs: () => number
 }
 
-/** @returns the context of a session that shares nothing */
+/**
+ * Creates the context of a session that shares nothing.
+ *
+ * @param readToken - returns the dispatcher's current token
+ * @param lateOrderMs - time in milliseconds after which an unanswered order can no longer be carried out
+ * @returns the context
+ */
 export function createSessionContext (readToken: () => number, lateOrderMs: number): SessionContext {
   return { unansweredOrders: new UnansweredOrders(lateOrderMs), tokens: new IncarnationTokens(readToken), pollPacer: new PollPacer(), measureListAgeMs: () => 0 }
 }
--- a/packages/fleet/src/urgent-headroom.ts
+++ b/packages/fleet/src/urgent-headroom.ts
@@ -1,5 +1,7 @@
-/** Length in milliseconds of the window over which arrivals are counted, and of its slices. */
+/** Length in milliseconds of the window over which arrivals are counted. */
 const windowMs = 2_000
+
+/** Length in milliseconds of a slice of the window. */
 const sliceMs = 100
 
 /** Tasks that run longer than this multiple of the most urgent queue's are kept off the headroom. */
@@ -9,7 +11,7 @@
 const quickEndFraction = 0.1
 
 /** Part of the usable processors that tasks of half a target get when long ones fill the rest. */
-const packing = 0.85
+const packingFraction = 0.85
 
 /** Largest part of the usable processors that is kept free. */
 const maxFraction = 0.5
@@ -32,6 +34,7 @@
   readonly nextEndMs: number
 }
 
+/** Sums over the arrivals in one slice; `work` in milliseconds times thousandths of a core. */
 interface Slice {
   readonly index: number
   count: number
@@ -48,11 +51,16 @@
  * The headroom is the mean number of processors that the urgent queue uses, and one standard deviation of jobs that
  * arrive independently. It is zero while that queue is idle, or while capacity becomes free fast enough on its own.
  *
- * No dispatcher uses it yet: in the replayed load it costs more answers than it brings, see docs/design/contention.md.
+ * No dispatcher uses it yet; docs/design/contention.md has the reasons.
  */
 export class UrgentHeadroom {
   readonly #slices: Slice[] = []
 
+  /**
+   * Records the arrival of a job of the most urgent queue.
+   *
+   * @param now - monotonic time in milliseconds
+   */
   record ({ processors, runMs, objectiveMs }: UrgentArrival, now: number): void {
     this.#expire(now)
     const index = Math.floor(now / sliceMs)
@@ -85,7 +93,7 @@
     if (count === 0 || nextEndMs < objectiveMs / count * quickEndFraction) return undefined
     const used = work / windowMs
     const headroom = Math.min(usableProcessors * maxFraction, used + Math.sqrt(used * processors / count))
-    return { longMs: runMs / count * longRunFactor, maxLongProcessors: usableProcessors * packing - headroom }
+    return { longMs: runMs / count * longRunFactor, maxLongProcessors: usableProcessors * packingFraction - headroom }
   }
 
   #expire (now: number): void {
--- a/packages/transport/src/body-blocks.ts
+++ b/packages/transport/src/body-blocks.ts
@@ -14,9 +14,10 @@
   readonly #blocks: Buffer[] = []
   #length = 0
 
-  /** @returns number of bytes that the blocks take */
+  /** Number of bytes that the blocks take. */
   get capacity (): number { return this.#blocks.length * blockBytes }
 
+  /** Copies a piece behind the earlier ones. */
   append (piece: Buffer): void {
     for (let offset = 0; offset < piece.length;) {
       const used = this.#length % blockBytes
--- a/packages/transport/src/client-budget.ts
+++ b/packages/transport/src/client-budget.ts
@@ -43,6 +43,9 @@
   /**
    * Computes how strongly a client is preferred for eviction: the time for which it has owed progress, times the part that it still
    * owes. Single bytes don't restart this time, so that sending or reading very slowly protects nobody.
+   *
+   * @param nowMs - monotonic time in milliseconds
+   * @returns milliseconds, weighted; 0 while the process works on the client's requests
    */
   computeOwedTime (nowMs: number): number {
     if (this.waitingSinceMs === undefined) return 0
@@ -89,7 +92,7 @@
     this.#limits = limits
   }
 
-  /** @returns use of each resource at present */
+  /** Use of each resource at present. */
   get usage (): { readonly connections: Readonly<Record<ListenerName, number>>, readonly requests: number, readonly heapBytes: number, readonly bufferBytes: number } {
     return { connections: { ...this.#connectionCounts }, requests: this.#requestCount, heapBytes: this.#heapBytes, bufferBytes: this.#bufferBytes }
   }
@@ -246,6 +249,7 @@
     this.#holding.delete(entry)
   }
 
+  /** Removes the candidate that has owed progress for longest, of the first that are compared; undefined if there is none. */
   #evict (candidates: ReadonlySet<ClientEntry>, nowMs: number): Eviction | undefined {
     let worst: ClientEntry | undefined
     let worstTime = -1
--- a/packages/transport/src/client-guard.ts
+++ b/packages/transport/src/client-guard.ts
@@ -8,11 +8,13 @@
 /** Number of sweeps after which the reserved descriptors are counted again. */
 const sweepsPerReservation = 4
 
-/** Estimated heap in bytes of a request in progress, and of each name or value of a header field. */
+/** Estimated heap in bytes of a request in progress. */
 const requestHeapBytes = 8_192
+
+/** Estimated heap in bytes of each name or value of a header field. */
 const headerTextHeapBytes = 48
 
-/** Estimated heap for each byte of an incomplete header, which may consist of very short fields. */
+/** Estimated heap in bytes for each byte of an incomplete header, which may consist of very short fields. */
 const headerHeapRatio = 12
 
 /** Bytes of an incomplete header that the parser takes at most. */
@@ -63,10 +65,13 @@
   readonly #sockets = new Map<ClientEntry, Socket>()
   readonly #timer: NodeJS.Timeout
   #sweepCount = 0
+  /** The operator's limits; their usual values apply until a configuration has arrived. */
   #idleTimeoutMs = 15_000
   #maxBodyBytes = 262_144
 
   /**
+   * @param budget - decides which connections are closed
+   * @param observer - receives each decision against a client
    * @param now - returns a monotonic time in milliseconds
    * @param countReservedDescriptors - returns the number of descriptors that connections other than clients' need
    */
@@ -89,6 +94,7 @@
     this.#maxBodyBytes = maxBodyBytes
   }
 
+  /** Stops the periodic checks. */
   close (): void {
     clearInterval(this.#timer)
   }
@@ -206,6 +212,7 @@
     }
   }
 
+  /** Closes a connection because of its client's own use. */
   #closeOwn (connection: GuardedConnection, limit: ClientLimit): false {
     const { entry } = connection
     const eviction: Eviction = { entry, waitedMs: this.#now() - (entry.waitingSinceMs ?? this.#now()), announcedBytes: entry.announcedBytes, receivedBytes: entry.receivedBytes }
@@ -220,6 +227,7 @@
     this.#sockets.delete(entry)
   }
 
+  /** Checks all connections, and at times counts the reserved descriptors again. */
   #sweep (): void {
     const nowMs = this.#now()
     if (this.#sweepCount++ % sweepsPerReservation === 0) this.#closeEvicted(this.#budget.reserveDescriptors(this.#countReservedDescriptors(), nowMs), 'connections', 'evicted')
