--- a/packages/fleet/src/cancelled-jobs.ts
+++ b/packages/fleet/src/cancelled-jobs.ts
@@ -116,6 +116,17 @@
     return { entries, sequence: this.#sequence }
   }
 
+  /**
+   * Lists what another instance does not know yet.
+   *
+   * @param listed - records that the other instance has sent
+   * @returns all records that it lacks, and those of jobs that only this process knows to have existed
+   */
+  listOthers (listed: readonly CancelledEntry[], now: number): readonly CancelledEntry[] {
+    const listedIds = new Map(listed.map(([jobId, , wasKnown]) => [jobId, wasKnown]))
+    return this.listAll(now).filter(([jobId, , wasKnown]) => !listedIds.has(jobId) || (wasKnown && listedIds.get(jobId) === false))
+  }
+
   /** Removes records whose time is over. One that was learned late may stay in memory behind newer ones, for as long again at most. */
   expire (now: number): void {
     for (; this.#first < this.#history.length; this.#first++) {
--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -2,9 +2,11 @@
 import { type CancelledEntry, CancelledJobs } from './cancelled-jobs.js'
 import { type ConfigurationRelay } from './configuration-relay.js'
 import { type Directory, type InstanceEntry, tokensPerRevision } from './directory.js'
+import { type DispatcherConnectionObserver } from './dispatcher-connection-observer.js'
 import { type DomainDrains } from './domain-drains.js'
 import { type EventLog } from './event-log.js'
 import { LingeringList } from './lingering-list.js'
+import { type LocalDispatcherRegistry } from './local-dispatcher-registry.js'
 import { type DispatcherMessage, type HeartbeatMessage, type LoadSummary, type OwnerMessage } from './messages.js'
 import { startPeriodicTimer } from './periodic-timer.js'
 import { type PeerConnector, type PeerStream } from './peer-streams.js'
@@ -44,28 +46,7 @@
  */
 export const lostDispatcherRunExpiryMs = 2_300
 
-/** Receives the state changes of connections, and the messages of the dispatchers. */
-export abstract class DispatcherConnectionObserver {
-  /**
-   * Called when a dispatcher has accepted the connection.
-   *
-   * @param isNewDispatcher - whether its token differs from that of the last connection
-   */
-  abstract onConnected (connection: DispatcherConnection, isNewDispatcher: boolean): void
-  /** Called when an accepted connection has closed. */
-  abstract onDisconnected (connection: DispatcherConnection): void
-  abstract onDispatcherMessage (connection: DispatcherConnection, message: DispatcherMessage): void
-  /** Called when a heartbeat reply has updated the dispatcher's load. */
-  abstract onLoadChanged (connection: DispatcherConnection): void
-}
-
-/** The dispatchers in this process, which are reached without a network connection. */
-export abstract class LocalDispatcherRegistry {
-  abstract hasDispatcher (domain: string): boolean
-  /** @returns an in-process stream to the domain's local dispatcher, or undefined if there is none */
-  abstract open (domain: string, onMessage: (message: DispatcherMessage) => void, onClose: (reason: string) => void): PeerStream | undefined
-}
-
+/** What the connection to the dispatcher of one domain depends on. */
 export interface DispatcherConnectionOptions {
   readonly domain: string
   readonly self: InstanceEntry
@@ -386,16 +367,10 @@
    *   heartbeat, and for a dispatcher of an earlier version
    */
   #replyToHeartbeat (heardSentAt: number, listed?: readonly CancelledEntry[]): void {
-    const cancelled = listed === undefined ? [] : this.#listCancelledExcept(listed)
+    const cancelled = listed === undefined ? [] : this.#cancelled.listOthers(listed, this.#options.clock.now())
     this.send({ type: 'heartbeat-reply', configurationVersion: this.#options.relay.version, heardSentAt, ...(cancelled.length > 0 ? { cancelled } : {}), ...this.#options.drains?.describe() })
   }
 
-  /** @returns cancelled jobs that this process knows, without those that the list already tells as much of */
-  #listCancelledExcept (listed: readonly CancelledEntry[]): readonly CancelledEntry[] {
-    const listedIds = new Map(listed.map(([jobId, , wasKnown]) => [jobId, wasKnown]))
-    return this.#cancelled.listAll(this.#options.clock.now()).filter(([jobId, , wasKnown]) => !listedIds.has(jobId) || (wasKnown && listedIds.get(jobId) === false))
-  }
-
   #handleLoad (message: HeartbeatMessage | Extract<DispatcherMessage, { type: 'pong' }>): void {
     this.#load = message.load
     this.#heardSentAt = message.sentAt
--- a/packages/fleet/src/domain-drains.ts
+++ b/packages/fleet/src/domain-drains.ts
@@ -1,5 +1,6 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type EventLog } from './event-log.js'
+import { roundIfFinite } from './round-for-log.js'
 
 /**
  * Time in milliseconds by which starts in a drained domain end before the bound. It covers the window in which a target
@@ -10,7 +11,7 @@
 /** Largest number of ignored rows that are remembered; further ones are neither logged nor shown. */
 const maxIgnoredRows = 100
 
-/** Longest text of a row's key that is logged or shown. */
+/** Number of characters of a row's key that are logged or shown. */
 const maxShownLength = 100
 
 /** What is known of the drain of one domain. */
@@ -63,6 +64,7 @@
   abstract onDrainsChanged (): void
 }
 
+/** What the drains of one instance depend on. */
 export interface DomainDrainsOptions {
   /** Name of this instance. */
   readonly instance: string
@@ -144,13 +146,14 @@
   /** @returns the field of a message that carries this state; nothing if domains can't be drained or nothing is known yet */
   describe (): DrainCarrier {
     if (!this.isEnabled || (this.#listRevision === 0 && this.#entries.size === 0)) return {}
-    const readMsAgo = Math.round(this.measureReadAgeMs())
-    return { drains: { listRevision: this.#listRevision, ...(Number.isFinite(readMsAgo) ? { readMsAgo } : {}), entries: [...this.#entries.values()] } }
+    const readMsAgo = roundIfFinite(this.measureReadAgeMs())
+    return { drains: { listRevision: this.#listRevision, ...(readMsAgo === undefined ? {} : { readMsAgo }), entries: [...this.#entries.values()] } }
   }
 
   /**
    * Applies all requests that a list of the store has shown.
    *
+   * @param rows - all rows that name a domain to drain
    * @param revision - store revision of the list
    * @param sentElapsed - time at which the list was requested
    */
@@ -180,10 +183,13 @@
   /**
    * Takes over what a message of another instance shows to be newer.
    *
+   * @param message - message that may carry a state of the drains
+   * @param instance - name of the sender
    * @param sentAfter - time, by this instance's clock, after which the message was certainly sent; undefined if it may have
    *   waited while this process was paused
    */
-  receive ({ drains }: DrainCarrier, instance: string, sentAfter?: number): void {
+  receive (message: DrainCarrier, instance: string, sentAfter?: number): void {
+    const { drains } = message
     if (!isDrainState(drains) || !this.isEnabled || instance === this.#options.instance) return
     this.#merge(drains.listRevision, drains.entries, `instance ${instance}`)
     // A request that an older state lacks may be due already.
@@ -208,7 +214,9 @@
   /**
    * Merges evidence into this state.
    *
-   * @param listRevision - revision of a complete list; domains without an entry were not drained then
+   * @param listRevision - revision of a complete list, 0 for single entries; domains without an entry were not drained then
+   * @param entries - what is known of single domains
+   * @param source - where the evidence comes from, for the log
    */
   #merge (listRevision: number, entries: readonly DrainEntry[], source: string): void {
     let isChanged = false
@@ -229,14 +237,13 @@
   }
 
   #logChange ({ domain, isDrained, rowRevision, seenRevision }: DrainEntry, known: DrainEntry, source: string): void {
-    const readMsAgo = this.measureReadAgeMs()
-    const inputs = { domain, source, seenRevision, readMsAgo: Number.isFinite(readMsAgo) ? Math.round(readMsAgo) : undefined }
+    const inputs = { domain, source, seenRevision, readMsAgo: roundIfFinite(this.measureReadAgeMs()) }
     if (!isDrained) {
       this.#options.log.log('belief', 'domain-drain-ends', { ...inputs, revision: known.rowRevision })
       return
     }
-    const absentMsAgo = this.#options.clock.readElapsed() - this.getAbsentAt(domain)
-    this.#options.log.log('belief', 'domain-drain-begins', { ...inputs, revision: rowRevision, absentMsAgo: Number.isFinite(absentMsAgo) ? Math.round(absentMsAgo) : undefined })
+    const absentMsAgo = roundIfFinite(this.#options.clock.readElapsed() - this.getAbsentAt(domain))
+    this.#options.log.log('belief', 'domain-drain-begins', { ...inputs, revision: rowRevision, absentMsAgo })
   }
 }
 
--- a/packages/fleet/src/drain-dispatch.ts
+++ b/packages/fleet/src/drain-dispatch.ts
@@ -2,11 +2,12 @@
 import { type DispatchedJob } from './dispatched-job.js'
 import { type DomainDrains, drainMarginMs, DrainObserver } from './domain-drains.js'
 import { decideStartRule, type StartRule } from './drained-starts.js'
+import { roundIfFinite } from './round-for-log.js'
 
 /** Retry delay in milliseconds of a job that is rejected because its domain is drained. */
 export const drainedRetryMs = 1_000
 
-/** Longest time in milliseconds for which a dispatcher waits for the state of the drains when it begins or was paused; the store may be away. */
+/** Longest time in milliseconds for which a dispatcher waits for the state of the drains when it begins or was paused; the store may be unavailable. */
 const maxStateWaitMs = 300
 
 /**
@@ -38,15 +39,20 @@
   readonly #startedElapsed: number
   /** Time since which the state of the drains must have been read or received before tasks start. */
   #awaitedSince: number
+  /** Time of the last round of starts. */
   #settledAt: number
   /** Whether this dispatcher has been allowed to start tasks. */
   #hasBegun = false
+  /** Whether the domain was drained already when this dispatcher was allowed to start tasks. */
   #beganDrained = false
-  /** Whether the present drain was noticed, and whether its end of all runs was logged. */
-  #isNoticed = false
+  /** Whether the limit on starts was logged for the present drain. */
+  #isLimitLogged = false
+  /** Whether it was logged for the present drain that no run is left. */
   #isEmptyLogged = false
 
   /**
+   * @param state - jobs, runs and sessions of the dispatcher
+   * @param domain - the dispatcher's domain
    * @param drains - undefined if domains can't be drained
    * @param onChange - called when the domain may have been drained, or its drain withdrawn
    */
@@ -65,6 +71,7 @@
     this.#read()
   }
 
+  /** Whether the domain is drained, as far as this instance knows. */
   get isDrained (): boolean { return this.#drains?.isDrained(this.#domain) === true }
 
   /** Revision of the row that requests the drain; undefined if the domain is not drained. */
@@ -74,6 +81,7 @@
     this.#onChange()
   }
 
+  /** Ends the observation of the drains. */
   close (): void {
     this.#drains?.removeObserver(this)
   }
@@ -99,13 +107,13 @@
     this.#hasBegun = true
     const rule = this.#decideRule(this.#drains)
     if (rule.kind === 'all') {
-      this.#isNoticed = false
+      this.#isLimitLogged = false
       this.#isEmptyLogged = false
       this.#beganDrained = false
       return true
     }
-    if (!this.#isNoticed) this.#logLimit(this.#drains, rule)
-    this.#isNoticed = true
+    if (!this.#isLimitLogged) this.#logLimit(this.#drains, rule)
+    this.#isLimitLogged = true
     for (const job of [...this.#state.queue]) {
       if (!job.started) this.#returnJob(job)
       else if (rule.kind === 'none') this.#endIfIdle(job, this.#drains)
@@ -114,6 +122,7 @@
     return rule.kind === 'started-jobs'
   }
 
+  /** Requests the state of the drains, and lets no task start until one of `since` or later is known. */
   #awaitState (since: number): void {
     this.#awaitedSince = since
     this.#read()
@@ -128,6 +137,7 @@
     return decideStartRule({ isDrained: this.isDrained, beganDrained: this.#beganDrained, absentAt: drains.getAbsentAt(this.#domain), now: this.#state.readElapsed(), evacuateMs: drains.evacuateMs, marginMs: drainMarginMs })
   }
 
+  /** Returns a job that has not started to its owner. */
   #returnJob (job: DispatchedJob): void {
     this.#state.removeJob(job)
     this.#state.rejectJob(job, 'draining', drainedRetryMs)
@@ -160,8 +170,8 @@
     this.#state.log('belief', 'domain-drained', { domain: this.#domain, revision: this.revision, targets: sessions.size, dispatchingMs: Math.round(drainingMs) })
   }
 
+  /** @returns milliseconds since the newest list without the drain was requested; undefined if none was read */
   #measureAbsentMs (drains: DomainDrains): number | undefined {
-    const absentMsAgo = this.#state.readElapsed() - drains.getAbsentAt(this.#domain)
-    return Number.isFinite(absentMsAgo) ? Math.round(absentMsAgo) : undefined
+    return roundIfFinite(this.#state.readElapsed() - drains.getAbsentAt(this.#domain))
   }
 }
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -2,17 +2,19 @@
 import { CancelledJobs } from './cancelled-jobs.js'
 import { canStartAtOnce, chooseDomain } from './domain-choice.js'
 import { type DomainDrains } from './domain-drains.js'
-import { type DispatcherConnection, DispatcherConnectionObserver, lostDispatcherRunExpiryMs } from './dispatcher-connection.js'
-import { drainedRetryMs } from './drain-dispatch.js'
+import { type DispatcherConnection, lostDispatcherRunExpiryMs } from './dispatcher-connection.js'
+import { DispatcherConnectionObserver } from './dispatcher-connection-observer.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
 import { JobCancellations } from './job-cancellations.js'
-import { type JobSpec, type RejectionReason } from './job-types.js'
+import { createDrainedRejection, createRejection } from './job-rejections.js'
+import { type JobSpec } from './job-types.js'
 import { type FleetLimits } from './limits.js'
 import { type DispatcherMessage, type LoadSummary } from './messages.js'
 import { type JobAnswer, OwnedJob, type SubmissionRecord } from './owned-job.js'
 import { type CancellationOutcome } from './pending-cancellations.js'
 import { startPeriodicTimer } from './periodic-timer.js'
+import { roundIfFinite } from './round-for-log.js'
 
 /** Interval in milliseconds between checks of all jobs for expiry and for lost dispatchers. */
 const checkIntervalMs = 50
@@ -96,7 +98,7 @@
 
   /** @returns whether the dispatcher of at least one domain is connected */
   isDispatcherConnected (): boolean {
-    return [...this.#connections.values()].some(connection => connection.isConnected)
+    return this.#listConnected().length > 0
   }
 
   /**
@@ -221,9 +223,7 @@
       else job.mayHaveStarted = true
       return
     }
-    const options = [...this.#connections.values()]
-      .filter(connection => connection.isConnected && !this.#isDrained(connection))
-      .filter(connection => !job.rejectedBy.has(connection.domain))
+    const options = this.#listCandidates(job)
       .map(connection => ({ domain: connection.domain, load: connection.load, isHome: connection.domain === this.#options.homeDomain }))
     const chosen = chooseDomain(options, job.demand)?.domain
     if (chosen === undefined) {
@@ -234,21 +234,29 @@
     this.#submitTo(job, this.#connections.get(chosen)!, job.mayHaveStarted)
   }
 
+  #listConnected (): readonly DispatcherConnection[] {
+    return [...this.#connections.values()].filter(connection => connection.isConnected)
+  }
+
+  /** @returns connections to the dispatchers that a job may be submitted to */
+  #listCandidates ({ rejectedBy }: OwnedJob): readonly DispatcherConnection[] {
+    return this.#listConnected().filter(connection => !rejectedBy.has(connection.domain) && !this.#isDrained(connection))
+  }
+
   #isDrained ({ domain }: DispatcherConnection): boolean {
     return this.#options.drains?.isDrained(domain) === true
   }
 
   /** Answers a job that no connected domain takes, because domains are drained. */
   #rejectDrained (job: OwnedJob): void {
-    const connected = [...this.#connections.values()].filter(connection => connection.isConnected)
-    const readMsAgo = this.#options.drains?.measureReadAgeMs() ?? Infinity
-    this.#options.log.log('job', 'job-unassigned', { job: job.spec.id, connected: connected.length, drained: connected.filter(connection => this.#isDrained(connection)).length, rejectedBy: job.rejectedBy.size, readMsAgo: Number.isFinite(readMsAgo) ? Math.round(readMsAgo) : undefined, mayHaveStarted: job.mayHaveStarted })
+    const connected = this.#listConnected()
+    this.#options.log.log('job', 'job-unassigned', { job: job.spec.id, connected: connected.length, drained: connected.filter(connection => this.#isDrained(connection)).length, rejectedBy: job.rejectedBy.size, readMsAgo: roundIfFinite(this.#options.drains?.measureReadAgeMs()), mayHaveStarted: job.mayHaveStarted })
     this.#answerJob(job, createDrainedRejection(job))
   }
 
   /** @returns whether dispatchers are connected, all of drained domains */
   #isOnlyDrainedConnected (): boolean {
-    const connected = [...this.#connections.values()].filter(connection => connection.isConnected)
+    const connected = this.#listConnected()
     return connected.length > 0 && connected.every(connection => this.#isDrained(connection))
   }
 
@@ -269,7 +277,7 @@
     const submissionId = ++this.#lastSubmissionId
     job.location = { kind: 'submitted', domain, token, submissionId, submittedAt: now, isFirstDispatcher }
     const quietInMs = resubmitted ? Math.round(connection.measureQuietMs()) : 0
-    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(ageMs), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs, listAgeMs: roundOptional(connection.measureListAgeMs()), unlisted: this.#countUnlisted() })
+    this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(ageMs), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs, listAgeMs: roundIfFinite(connection.measureListAgeMs()), unlisted: this.#countUnlisted() })
     connection.reserveProcessors(job.demand.processors)
     connection.send({ type: 'submit', submissionId, job: job.spec, ageMs, ...(suspendedMs > 0 ? { suspendedMs } : {}), resubmitted, quietInMs, done: [...job.done], ...(job.losses === undefined ? {} : { losses: job.losses }) })
   }
@@ -281,14 +289,14 @@
     job.location = { kind: 'none' }
     job.rejectedBy.add(connection.domain)
     job.retryAfterMs = job.rejectedBy.size === 1 ? retryAfterMs : Math.min(job.retryAfterMs, retryAfterMs)
-    const others = [...this.#connections.values()].filter(other => other.isConnected && !job.rejectedBy.has(other.domain) && !this.#isDrained(other))
+    const others = this.#listCandidates(job)
     const now = this.#options.clock.now()
     const isWorthwhile = reason !== 'overloaded' || others.some(other => (other.load?.waitMs ?? 0) < job.spec.usefulMs - (now - job.acceptedAt))
     if (others.length > 0 && isWorthwhile) {
       this.#assignDispatcher(job)
       return
     }
-    const hasDrainedDomain = [...this.#connections.values()].some(other => other.isConnected && this.#isDrained(other))
+    const hasDrainedDomain = this.#listConnected().some(other => this.#isDrained(other))
     // A target of a drained domain may fit the job.
     if (reason === 'draining' || (hasDrainedDomain && reason === 'fits-no-target')) this.#rejectDrained(job)
     else if (reason === 'fits-no-target' && !job.mayHaveStarted) this.#answerJob(job, { kind: 'failed', reason })
@@ -353,7 +361,7 @@
 
   #cancelAtDispatcher (jobId: string, { domain, submissionId }: SubmissionRecord, reason: string): void {
     const connection = this.#connections.get(domain)
-    if (connection?.isConnected !== true) this.#options.log.log('job', 'cancellation-not-sent', { job: jobId, submission: submissionId, domain, lostMs: roundOptional(connection?.measureLostMs()) })
+    if (connection?.isConnected !== true) this.#options.log.log('job', 'cancellation-not-sent', { job: jobId, submission: submissionId, domain, lostMs: roundIfFinite(connection?.measureLostMs()) })
     connection?.send({ type: 'cancel', jobId, reason, submissionId })
   }
 
@@ -389,17 +397,3 @@
     } else if (connection === undefined) this.#assignDispatcher(job)
   }
 }
-
-/** Builds the answer to a rejected job; it is `rejected` only if no task of the job can have started. */
-function createRejection (job: OwnedJob, reason: RejectionReason): JobAnswer {
-  return job.mayHaveStarted ? { kind: 'unknown', reason } : { kind: 'rejected', reason, retryAfterMs: job.retryAfterMs }
-}
-
-/** Builds the answer to a job that no domain takes because domains are drained; no target serves it for now. */
-function createDrainedRejection (job: OwnedJob): JobAnswer {
-  return job.mayHaveStarted ? { kind: 'unknown', reason: 'no-target' } : { kind: 'rejected', reason: 'no-target', retryAfterMs: drainedRetryMs }
-}
-
-function roundOptional (value: number | undefined): number | undefined {
-  return value === undefined ? undefined : Math.round(value)
-}
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -1,7 +1,7 @@
 import { type Clock } from '@sesamereel/coordination'
 import { type ConfigurationRelay } from './configuration-relay.js'
 import { type Dispatcher } from './dispatcher.js'
-import { LocalDispatcherRegistry } from './dispatcher-connection.js'
+import { LocalDispatcherRegistry } from './local-dispatcher-registry.js'
 import { type DomainDrains } from './domain-drains.js'
 import { HeartbeatSource } from './heartbeat-source.js'
 import { type DispatcherMessage, type OwnerMessage } from './messages.js'
