--- a/packages/cli/src/check-configuration.ts
+++ b/packages/cli/src/check-configuration.ts
@@ -44,12 +44,8 @@
   if (configuration !== undefined) problems.push(...listNeverMatchingRoutes(configuration), ...listContradictions(configuration))
   if (targetsFile !== undefined) {
     const values = await readJsonFile(context, targetsFile)
-    if (Array.isArray(values)) {
-      findings.push([targetsFile, listTargetValueProblems(values)])
-      if (configuration !== undefined) problems.push(...listServicesWithoutTarget(configuration, values))
-    } else {
-      findings.push([targetsFile, [{ path: '', found: formatFound(values), expected: 'array' }]])
-    }
+    findings.push([targetsFile, listTargetFileProblems(values)])
+    if (configuration !== undefined && Array.isArray(values)) problems.push(...listServicesWithoutTarget(configuration, values))
   }
   if (inForceFile === undefined) {
     if (configuration !== undefined) problems.push(...listVersionProblems(configuration))
@@ -63,6 +59,11 @@
   return { findings, changes: diffConfigurations(inForce, configuration) }
 }
 
+/** @param values - content of the targets' file */
+function listTargetFileProblems (values: unknown): readonly Problem[] {
+  return Array.isArray(values) ? listTargetValueProblems(values) : [{ path: '', found: formatFound(values), expected: 'array' }]
+}
+
 /**
  * Formats the differences from the configuration in force.
  *
--- a/packages/fleet/src/fair-shares.ts
+++ b/packages/fleet/src/fair-shares.ts
@@ -1,9 +1,14 @@
+import { SliceWindow, type WindowSlice } from './slice-window.js'
+
 /** Length in milliseconds of the window over which started and offered work are compared. */
 const windowMs = 2_000
 
 /** Length in milliseconds of a slice of the window. */
 const sliceMs = 100
 
+/** Number of slices of the window. */
+const sliceCount = windowMs / sliceMs
+
 /** A queue goes first while its ratio of started to offered work is below this fraction of the ratio of all queues. */
 const floorFraction = 0.5
 
@@ -11,26 +16,23 @@
 const maxQueues = 64
 
 /** Work of one queue in one slice, in milliseconds times thousandths of a core. */
-interface Slice {
-  readonly index: number
+interface Slice extends WindowSlice {
   offered: number
   started: number
 }
 
 /** Work of one queue over the window. */
 class QueueWork {
-  readonly #slices: Slice[] = []
+  readonly #window = new SliceWindow<Slice>(sliceMs, sliceCount, index => ({ index, offered: 0, started: 0 }), slice => {
+    this.offered -= slice.offered
+    this.started -= slice.started
+  })
+
   offered = 0
   started = 0
 
   add (offered: number, started: number, now: number): void {
-    this.expire(now)
-    const index = Math.floor(now / sliceMs)
-    let slice = this.#slices.at(-1)
-    if (slice?.index !== index) {
-      slice = { index, offered: 0, started: 0 }
-      this.#slices.push(slice)
-    }
+    const slice = this.#window.findCurrent(now)
     slice.offered += offered
     slice.started += started
     this.offered += offered
@@ -39,15 +41,10 @@
 
   /** Drops the slices that have left the window. */
   expire (now: number): void {
-    const oldest = Math.floor((now - windowMs) / sliceMs)
-    while (this.#slices.length > 0 && this.#slices[0]!.index <= oldest) {
-      const { offered, started } = this.#slices.shift()!
-      this.offered -= offered
-      this.started -= started
-    }
+    this.#window.expire(now)
   }
 
-  get isEmpty (): boolean { return this.#slices.length === 0 }
+  get isEmpty (): boolean { return this.#window.slices.length === 0 }
 }
 
 /** @returns a new list in which the jobs that go first stand before the others; both keep their order */
--- a/packages/fleet/src/run-time-model.ts
+++ b/packages/fleet/src/run-time-model.ts
@@ -1,3 +1,5 @@
+import { SliceWindow, type WindowSlice } from './slice-window.js'
+
 /** Bounds of one observed ratio of run time to estimate; ratios beyond them count as the nearest bound. */
 const minRatio = 0.1
 const maxRatio = 12
@@ -39,8 +41,7 @@
 }
 
 /** Observations of one queue in one slice of the window. */
-interface Slice {
-  readonly index: number
+interface Slice extends WindowSlice {
   readonly counts: Map<number, number>
   readonly countsByTarget: Map<string, number>
 }
@@ -48,7 +49,7 @@
 /** Histogram of one queue's ratios over the window. */
 class RatioWindow {
   readonly #counts = new Float64Array(bucketCount)
-  readonly #slices: Slice[] = []
+  readonly #window = new SliceWindow<Slice>(sliceMs, sliceCount, index => ({ index, counts: new Map(), countsByTarget: new Map() }), slice => { this.#subtract(slice) })
   readonly #quantiles = new Map<number, number>()
   #total = 0
 
@@ -62,13 +63,7 @@
    * @param ratio - run time relative to the estimate, corrected by the slowness of the target
    */
   record (target: string, ratio: number, now: number): void {
-    this.expire(now)
-    const index = Math.floor(now / sliceMs)
-    let slice = this.#slices.at(-1)
-    if (slice?.index !== index) {
-      slice = { index, counts: new Map(), countsByTarget: new Map() }
-      this.#slices.push(slice)
-    }
+    const slice = this.#window.findCurrent(now)
     const known = slice.countsByTarget.get(target) ?? 0
     if (known >= maxObservationsPerTarget) return
     slice.countsByTarget.set(target, known + 1)
@@ -81,14 +76,15 @@
 
   /** Drops the slices that have left the window. */
   expire (now: number): void {
-    const oldest = Math.floor(now / sliceMs) - sliceCount
-    while (this.#slices.length > 0 && this.#slices[0]!.index <= oldest) {
-      for (const [bucket, count] of this.#slices.shift()!.counts) {
-        this.#counts[bucket]! -= count
-        this.#total -= count
-      }
-      this.#quantiles.clear()
+    this.#window.expire(now)
+  }
+
+  #subtract ({ counts }: Slice): void {
+    for (const [bucket, count] of counts) {
+      this.#counts[bucket]! -= count
+      this.#total -= count
     }
+    this.#quantiles.clear()
   }
 
   /** Number of observations in the window, without the prior. */
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -70,18 +70,6 @@
   readonly #fence: IncarnationFence
   /** Unix time in milliseconds at which the current incarnation of the target started. */
   #bornMs: number | undefined
-  /** Age in milliseconds of the list, if tasks start here by an outdated entry of it. */
-  get outdatedListAgeMs (): number | undefined {
-    return this.awaitsEntry ? Math.round(this.#context.measureListAgeMs()) : undefined
-  }
-
-  /** What the session knows of the target's incarnation, for the log. */
-  get incarnationFields (): LogFields {
-    const { tokens, unansweredOrders } = this.#context
-    const { requiredToken } = this.#fence
-    return { bornMs: this.#bornMs, entryBornMs: this.#entry.listed.bornMs, token: tokens.current, requiredToken: requiredToken > 0 ? requiredToken : undefined, unanswered: unansweredOrders.list(this.#clock.now()).length }
-  }
-
   /** Monotonic local time in milliseconds at which the first view of the current incarnation arrived. */
   #bornSeenAt = -Infinity
   /** Number of the last end of a run that was processed. */
@@ -127,6 +115,18 @@
   /** Whether the list entry is of another incarnation than the one that answers. */
   get awaitsEntry (): boolean { return this.#entry.isOutdated }
 
+  /** Age in milliseconds of the list, if tasks start here by an outdated entry of it. */
+  get outdatedListAgeMs (): number | undefined {
+    return this.awaitsEntry ? Math.round(this.#context.measureListAgeMs()) : undefined
+  }
+
+  /** What the session knows of the target's incarnation, for the log. */
+  get incarnationFields (): LogFields {
+    const { tokens, unansweredOrders } = this.#context
+    const { requiredToken } = this.#fence
+    return { bornMs: this.#bornMs, entryBornMs: this.#entry.listed.bornMs, token: tokens.current, requiredToken: requiredToken > 0 ? requiredToken : undefined, unanswered: unansweredOrders.list(this.#clock.now()).length }
+  }
+
   /** Monotonic local time in milliseconds at which the first view of the current incarnation arrived. */
   get bornSeenAt (): number { return this.#bornSeenAt }
 
--- a/packages/fleet/src/urgent-headroom.ts
+++ b/packages/fleet/src/urgent-headroom.ts
@@ -1,9 +1,14 @@
+import { SliceWindow, type WindowSlice } from './slice-window.js'
+
 /** Length in milliseconds of the window over which arrivals are counted. */
 const windowMs = 2_000
 
 /** Length in milliseconds of a slice of the window. */
 const sliceMs = 100
 
+/** Number of slices of the window. */
+const sliceCount = windowMs / sliceMs
+
 /** Tasks that run longer than this multiple of the most urgent queue's are kept off the headroom. */
 const longRunFactor = 3
 
@@ -35,8 +40,7 @@
 }
 
 /** Sums over the arrivals in one slice; `work` in milliseconds times thousandths of a core. */
-interface Slice {
-  readonly index: number
+interface Slice extends WindowSlice {
   count: number
   work: number
   processors: number
@@ -54,7 +58,7 @@
  * No dispatcher uses it yet; docs/design/contention.md has the reasons.
  */
 export class UrgentHeadroom {
-  readonly #slices: Slice[] = []
+  readonly #window = new SliceWindow<Slice>(sliceMs, sliceCount, index => ({ index, count: 0, work: 0, processors: 0, runMs: 0, objectiveMs: 0 }))
 
   /**
    * Records the arrival of a job of the most urgent queue.
@@ -62,13 +66,7 @@
    * @param now - monotonic time in milliseconds
    */
   record ({ processors, runMs, objectiveMs }: UrgentArrival, now: number): void {
-    this.#expire(now)
-    const index = Math.floor(now / sliceMs)
-    let slice = this.#slices.at(-1)
-    if (slice?.index !== index) {
-      slice = { index, count: 0, work: 0, processors: 0, runMs: 0, objectiveMs: 0 }
-      this.#slices.push(slice)
-    }
+    const slice = this.#window.findCurrent(now)
     slice.count++
     slice.work += processors * runMs
     slice.processors += processors
@@ -81,9 +79,9 @@
    *   occupy; undefined when nothing is kept free
    */
   computeLimit ({ usableProcessors, nextEndMs }: HeadroomInputs, now: number): { readonly longMs: number, readonly maxLongProcessors: number } | undefined {
-    this.#expire(now)
+    this.#window.expire(now)
     let [count, work, processors, runMs, objectiveMs] = [0, 0, 0, 0, 0]
-    for (const slice of this.#slices) {
+    for (const slice of this.#window.slices) {
       count += slice.count
       work += slice.work
       processors += slice.processors
@@ -95,9 +93,4 @@
     const headroom = Math.min(usableProcessors * maxFraction, used + Math.sqrt(used * processors / count))
     return { longMs: runMs / count * longRunFactor, maxLongProcessors: usableProcessors * packingFraction - headroom }
   }
-
-  #expire (now: number): void {
-    const oldest = Math.floor((now - windowMs) / sliceMs)
-    while (this.#slices.length > 0 && this.#slices[0]!.index <= oldest) this.#slices.shift()
-  }
 }
