--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -155,7 +155,7 @@
     this.#drainingTargets.add(target.info.id)
   }
 
-  /** Writes the entry of a target, again after a while if the store is away. */
+  /** Writes the entry of a target, again after a while if the store is unavailable. */
   #announceTarget (entry: TargetInfo): void {
     const { id, bornMs } = entry
     const known = this.targets.get(id)
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -34,7 +34,7 @@
  */
 const maxListAgeMs = 3_000
 
-/** Longest time in milliseconds of that wait; the store may be away. */
+/** Longest time in milliseconds of that wait; the store may be unavailable. */
 const maxListWaitMs = 300
 
 export interface DispatcherOptions {
--- a/packages/fleet/src/owner-registry.ts
+++ b/packages/fleet/src/owner-registry.ts
@@ -9,7 +9,7 @@
   abstract readonly ownerId: string
   /** Rises with each connection that the owner opens to this dispatcher's domain; 0 for owners of an earlier version. */
   abstract readonly sequence: number
-  /** Whether the connection is being closed because nothing came over it, so that the owner may be paused or cut off. */
+  /** Whether the connection is being closed because no message arrived on it; the owner may be paused or cut off. */
   isSilent = false
   abstract send (message: DispatcherMessage): void
 }
