--- a/packages/fleet/src/fair-shares.ts
+++ b/packages/fleet/src/fair-shares.ts
@@ -1,15 +1,22 @@
-/** Length in milliseconds of the window over which started and offered work are compared, and of its slices. */
+import { SliceWindow, type WindowSlice } from './slice-window.js'
+
+/** Length in milliseconds of the window over which started and offered work are compared. */
 const windowMs = 2_000
+
+/** Length in milliseconds of a slice of the window. */
 const sliceMs = 100
 
+/** Number of slices of the window. */
+const sliceCount = windowMs / sliceMs
+
 /** Fraction of the ratio of all queues below which a queue's ratio of started to offered work puts it first, unless another one is given. */
 const defaultFraction = 0.5
 
 /** Queues of a service that are kept; the work of further ones is not compared. */
 const maxQueues = 64
 
-interface Slice {
-  readonly index: number
+/** Work of one queue in one slice, in milliseconds times thousandths of a core. */
+interface Slice extends WindowSlice {
   offered: number
   started: number
 }
@@ -22,18 +29,16 @@
 }
 
 class WorkWindow {
-  readonly #slices: Slice[] = []
+  readonly #window = new SliceWindow<Slice>(sliceMs, sliceCount, index => ({ index, offered: 0, started: 0 }), slice => {
+    this.offered -= slice.offered
+    this.started -= slice.started
+  })
+
   offered = 0
   started = 0
 
   add (offered: number, started: number, now: number): void {
-    this.expire(now)
-    const index = Math.floor(now / sliceMs)
-    let slice = this.#slices.at(-1)
-    if (slice?.index !== index) {
-      slice = { index, offered: 0, started: 0 }
-      this.#slices.push(slice)
-    }
+    const slice = this.#window.findCurrent(now)
     slice.offered += offered
     slice.started += started
     this.offered += offered
@@ -42,15 +47,10 @@
 
   /** Drops the slices that have left the window. */
   expire (now: number): void {
-    const oldest = Math.floor((now - windowMs) / sliceMs)
-    while (this.#slices.length > 0 && this.#slices[0]!.index <= oldest) {
-      const { offered, started } = this.#slices.shift()!
-      this.offered -= offered
-      this.started -= started
-    }
+    this.#window.expire(now)
   }
 
-  get isEmpty (): boolean { return this.#slices.length === 0 }
+  get isEmpty (): boolean { return this.#window.slices.length === 0 }
 }
 
 /** @returns a new list in which the jobs that go first stand before the others; both keep their order */
@@ -68,7 +68,8 @@
  * Work is run time times processors, so that wide jobs are not worse off than narrow ones. Only the order of waiting
  * jobs changes, so no capacity is left idle. A new dispatcher begins with an empty window.
  *
- * In the replayed load it costs more answers than it brings, so that it is off by default, see docs/design/contention.md.
+ * It costs more answers than it brings unless an operator wants the floor, so that it is off by default, see
+ * docs/design/contention.md.
  */
 export class FairShares {
   readonly #queues = new Map<string, WorkWindow>()
@@ -85,12 +86,24 @@
     return [...this.#queues].map(([queue, { offered, started }]) => ({ queue, offered, started }))
   }
 
-  /** @param work - work of a job that was submitted, in milliseconds times thousandths of a core */
+  /**
+   * Records the work of a job that was submitted.
+   *
+   * @param queue - key of the job's queue
+   * @param work - in milliseconds times thousandths of a core
+   * @param now - monotonic time in milliseconds
+   */
   recordOffered (queue: string, work: number, now: number): void {
     this.#find(queue)?.add(work, 0, now)
   }
 
-  /** @param work - work of a task that was started, in milliseconds times thousandths of a core */
+  /**
+   * Records the work of a task that was started.
+   *
+   * @param queue - key of the job's queue
+   * @param work - in milliseconds times thousandths of a core
+   * @param now - monotonic time in milliseconds
+   */
   recordStarted (queue: string, work: number, now: number): void {
     this.#find(queue)?.add(0, work, now)
   }
