--- a/packages/emulator/src/emulated-drains.ts
+++ b/packages/emulator/src/emulated-drains.ts
@@ -43,11 +43,11 @@
  *
  * @param instance - name of the instance
  * @param domains - all failure domains
- * @param evacuateMs - time in milliseconds after the write of a request from which no task may start in the domain
+ * @param drainBoundMs - time in milliseconds after the write of a request from which no task may start in the domain
  * @returns the drains; their watch is not started
  */
-export function createEmulatedDrains (instance: string, domains: readonly string[], evacuateMs: number, store: MetadataStore, clock: Clock, log: EventLog): EmulatedDrains {
-  const state = new DomainDrains({ instance, domains, evacuateMs, clock, log })
+export function createEmulatedDrains (instance: string, domains: readonly string[], drainBoundMs: number, store: MetadataStore, clock: Clock, log: EventLog): EmulatedDrains {
+  const state = new DomainDrains({ instance, domains, drainBoundMs, clock, log })
   const watch = new TableWatch(store, emulatedDrainTable, { relistIntervalMs, batchingPauseMs: 0, evidence: new DrainReader(state), listsDuringWatch: true, random: () => 0.5 }, clock, log, new NoTableObserver())
   return { state, read: () => { watch.relist() }, start: () => { watch.start() }, close: () => { watch.close() } }
 }
--- a/packages/emulator/src/emulated-fleet.ts
+++ b/packages/emulator/src/emulated-fleet.ts
@@ -27,7 +27,7 @@
   readonly targetsPerDomain: number
   readonly seed: number
   /** Time in milliseconds after the request of a domain's drain from which no task may start there; without it domains can't be drained. */
-  readonly evacuateMs?: number
+  readonly drainBoundMs?: number
   /** Creates the log of an instance; by default nothing is logged. */
   readonly createLog?: (instance: string, clock: ManualClock) => EventLog
 }
@@ -80,7 +80,7 @@
 
   constructor (options: EmulatedFleetOptions) {
     this.#options = options
-    this.drainHistory = new DrainHistory(this.clock, options.evacuateMs ?? Infinity)
+    this.drainHistory = new DrainHistory(this.clock, options.drainBoundMs ?? Infinity)
     this.random = new RandomSource(options.seed)
     for (const domain of options.domains) this.#addTargets(domain)
     for (const domain of options.domains) {
@@ -234,8 +234,8 @@
     const targets = new TargetList(store, emulatedTargetTable, decodeTarget, clock, log, random)
     const relay = new ConfigurationRelay(() => true)
     const cancelled = new CancelledJobs()
-    const { evacuateMs, domains } = this.#options
-    const drains = evacuateMs === undefined ? undefined : createEmulatedDrains(self.instance, domains, evacuateMs, store, clock, log)
+    const { drainBoundMs, domains } = this.#options
+    const drains = drainBoundMs === undefined ? undefined : createEmulatedDrains(self.instance, domains, drainBoundMs, store, clock, log)
     const drainState = drains === undefined ? {} : { drains: drains.state }
     const server = new OwnerServer(self.incarnation, clock, relay, drains?.state)
     const owner: JobOwner = new JobOwner({ homeDomain: self.domain, clock, limits, log, metrics, cancelled, ...drainState }, domain => { election.takeOver(domain) })
--- a/packages/emulator/src/play-days.ts
+++ b/packages/emulator/src/play-days.ts
@@ -14,7 +14,7 @@
 program.option('--interval <ms>', 'Time in milliseconds between two jobs', { default: defaultLoad.submitIntervalMs })
 program.option('--long <fraction>', 'Fraction of the jobs that consist of one long task', { default: defaultLoad.longJobProbability })
 program.option('--resends <n>', 'How often a caller sends its job again', { default: defaultLoad.maxResends })
-program.option('--evacuate <ms>', 'Time in milliseconds after the request of a domain\'s drain from which no task may start there', { default: 5_000 })
+program.option('--drain-bound <ms>', 'Time in milliseconds after the request of a domain\'s drain from which no task may start there', { default: 5_000 })
 program.option('--met-runs', 'Print the repeats that were sent while a run of their job still lived')
 program.example('node packages/emulator/dist/src/play-days.js --seed 1 --days 100')
 program.help()
@@ -26,7 +26,7 @@
 async function runScenarios (firstSeed: number, scenarios: number, lengthMs: number): Promise<void> {
   let failedCount = 0
   for (let seed = firstSeed; seed < firstSeed + scenarios; seed++) {
-    const fleet = new EmulatedFleet({ domains: ['a', 'b'], instancesPerDomain: 3, targetsPerDomain: 6, seed, ...(faultNames.includes('drain-domain') ? { evacuateMs: Number(options.evacuate) } : {}) })
+    const fleet = new EmulatedFleet({ domains: ['a', 'b'], instancesPerDomain: 3, targetsPerDomain: 6, seed, ...(faultNames.includes('drain-domain') ? { drainBoundMs: Number(options.drainBound) } : {}) })
     await fleet.advance(startMs)
     const result = await new RandomFaultScenario(fleet, faultNames, { submitIntervalMs: Number(options.interval), longJobProbability: Number(options.long), maxResends: Number(options.resends) }).run(lengthMs)
     const hasPassed = result.violations.length === 0 && result.isRecovered && result.reservedRuns === 0
--- a/packages/emulator/test/drained-domain.test.ts
+++ b/packages/emulator/test/drained-domain.test.ts
@@ -2,10 +2,10 @@
 import { describe, it } from 'node:test'
 import { EmulatedFleet, RandomFaultScenario } from '../src/index.js'
 
-const evacuateMs = 5_000
+const drainBoundMs = 5_000
 
 async function start (instancesPerDomain: number): Promise<EmulatedFleet> {
-  const fleet = new EmulatedFleet({ domains: ['a', 'b'], instancesPerDomain, targetsPerDomain: 4, seed: 1, evacuateMs })
+  const fleet = new EmulatedFleet({ domains: ['a', 'b'], instancesPerDomain, targetsPerDomain: 4, seed: 1, drainBoundMs })
   await fleet.advance(3_500)
   return fleet
 }
@@ -77,7 +77,7 @@
 
   for (const seed of [2, 3]) {
     it(`keeps the bound while processes, network and store fail, with seed ${seed}`, { timeout: 120_000 }, async () => {
-      const fleet = new EmulatedFleet({ domains: ['a', 'b'], instancesPerDomain: 3, targetsPerDomain: 6, seed, evacuateMs })
+      const fleet = new EmulatedFleet({ domains: ['a', 'b'], instancesPerDomain: 3, targetsPerDomain: 6, seed, drainBoundMs })
       await fleet.advance(3_500)
       const result = await new RandomFaultScenario(fleet, ['drain-domain', 'kill', 'pause', 'takeover-series', 'cut-instance', 'store-refuses', 'store-down', 'join'], { submitIntervalMs: 80, longJobProbability: 0.1, maxResends: 2 }).run(20_000)
       assert.deepEqual(result.violations, [])
--- a/packages/fleet/src/domain-drains.ts
+++ b/packages/fleet/src/domain-drains.ts
@@ -71,7 +71,7 @@
   /** All failure domains; requests for others are ignored. */
   readonly domains: readonly string[]
   /** Time in milliseconds after the write of a request from which no task may start in the domain; undefined if domains can't be drained. */
-  readonly evacuateMs: number | undefined
+  readonly drainBoundMs: number | undefined
   readonly clock: Clock
   readonly log: EventLog
 }
@@ -100,10 +100,10 @@
   }
 
   /** Whether domains can be drained. */
-  get isEnabled (): boolean { return this.#options.evacuateMs !== undefined }
+  get isEnabled (): boolean { return this.#options.drainBoundMs !== undefined }
 
   /** Time in milliseconds after the write of a request from which no task may start in the domain; infinite if domains can't be drained. */
-  get evacuateMs (): number { return this.#options.evacuateMs ?? Infinity }
+  get drainBoundMs (): number { return this.#options.drainBoundMs ?? Infinity }
 
   addObserver (observer: DrainObserver): void {
     this.#observers.add(observer)
@@ -193,7 +193,7 @@
     if (!isDrainState(drains) || !this.isEnabled || instance === this.#options.instance) return
     this.#merge(drains.listRevision, drains.entries, `instance ${instance}`)
     // A request that an older state lacks may be due already.
-    if (sentAfter !== undefined && drains.readMsAgo !== undefined && drains.readMsAgo <= this.evacuateMs - drainMarginMs) this.#peerHeardAt = Math.max(this.#peerHeardAt, sentAfter)
+    if (sentAfter !== undefined && drains.readMsAgo !== undefined && drains.readMsAgo <= this.drainBoundMs - drainMarginMs) this.#peerHeardAt = Math.max(this.#peerHeardAt, sentAfter)
   }
 
   /** Logs and remembers an invalid row, once for its revision. */
@@ -222,7 +222,7 @@
     let isChanged = false
     for (const domain of this.#options.domains) {
       const known = this.#entries.get(domain) ?? { domain, isDrained: false, rowRevision: 0, seenRevision: this.#listRevision }
-      const found = entries.find(entry => entry.domain === domain) ?? { domain, isDrained: false, rowRevision: listRevision, seenRevision: listRevision }
+      const found = findNewest(entries, domain) ?? { domain, isDrained: false, rowRevision: listRevision, seenRevision: listRevision }
       // At equal revisions a drain counts, because a start in a drained domain is the graver fault.
       const isNewer = found.seenRevision > known.seenRevision || (found.seenRevision === known.seenRevision && found.isDrained && !known.isDrained)
       if (!isNewer) continue
@@ -247,6 +247,13 @@
   }
 }
 
+/** @returns the newest evidence of a domain; one reply of a watch may hold several changes of a row */
+function findNewest (entries: readonly DrainEntry[], domain: string): DrainEntry | undefined {
+  let newest: DrainEntry | undefined
+  for (const entry of entries) if (entry.domain === domain && entry.seenRevision >= (newest?.seenRevision ?? 0)) newest = entry
+  return newest
+}
+
 /** @returns false also for a state of another version that lacks what this one reads */
 function isDrainState (state: DrainState | undefined): state is DrainState {
   return state !== undefined && Number.isFinite(state.listRevision) && Array.isArray(state.entries)
--- a/packages/fleet/src/drain-dispatch.ts
+++ b/packages/fleet/src/drain-dispatch.ts
@@ -134,7 +134,7 @@
   }
 
   #decideRule (drains: DomainDrains): StartRule {
-    return decideStartRule({ isDrained: this.isDrained, beganDrained: this.#beganDrained, absentAt: drains.getAbsentAt(this.#domain), now: this.#state.readElapsed(), evacuateMs: drains.evacuateMs, marginMs: drainMarginMs })
+    return decideStartRule({ isDrained: this.isDrained, beganDrained: this.#beganDrained, absentAt: drains.getAbsentAt(this.#domain), now: this.#state.readElapsed(), drainBoundMs: drains.drainBoundMs, marginMs: drainMarginMs })
   }
 
   /** Returns a job that has not started to its owner. */
--- a/packages/fleet/src/drained-starts.ts
+++ b/packages/fleet/src/drained-starts.ts
@@ -16,7 +16,7 @@
   readonly absentAt: number
   readonly now: number
   /** Time in milliseconds after the write of the request from which no task may start. */
-  readonly evacuateMs: number
+  readonly drainBoundMs: number
   /** Time in milliseconds by which the last start order must precede that. */
   readonly marginMs: number
 }
@@ -29,8 +29,8 @@
  *
  * @returns the starts that are allowed at the time `now`
  */
-export function decideStartRule ({ isDrained, beganDrained, absentAt, now, evacuateMs, marginMs }: StartRuleInputs): StartRule {
+export function decideStartRule ({ isDrained, beganDrained, absentAt, now, drainBoundMs, marginMs }: StartRuleInputs): StartRule {
   if (!isDrained) return { kind: 'all' }
-  const untilElapsed = absentAt + evacuateMs - marginMs
+  const untilElapsed = absentAt + drainBoundMs - marginMs
   return beganDrained || now >= untilElapsed ? { kind: 'none' } : { kind: 'started-jobs', untilElapsed }
 }
--- a/packages/fleet/test/domain-drain-dispatch.test.ts
+++ b/packages/fleet/test/domain-drain-dispatch.test.ts
@@ -5,7 +5,7 @@
 import { createDispatcher, createJob, FakeOwnerConnection, FakeTarget } from './dispatcher-fixture.js'
 import { createOwner, FakeConnection, spec } from './owner-fixture.js'
 
-const evacuateMs = 5_000
+const drainBoundMs = 5_000
 const row = { key: 'drain/a', domain: 'a', revision: 5 }
 
 /** A dispatcher of domain `a` and what it knows of drains. */
@@ -18,7 +18,7 @@
 
   /** @param readList - whether the store answers the list that a new dispatcher requests; without the drain */
   constructor (readList = true, isEnabled = true) {
-    this.drains = new DomainDrains({ instance: 'i', domains: ['a', 'b'], evacuateMs: isEnabled ? evacuateMs : undefined, clock: this.clock, log: new NoopLog() })
+    this.drains = new DomainDrains({ instance: 'i', domains: ['a', 'b'], drainBoundMs: isEnabled ? drainBoundMs : undefined, clock: this.clock, log: new NoopLog() })
     this.dispatcher = createDispatcher(this.clock, [this.target, new FakeTarget('joined')], () => 0, { drains: { state: this.drains, read: () => { if (readList) this.drains.applyList([], 1, this.clock.readElapsed()) } } })
     this.dispatcher.addOwner(this.owner)
     this.dispatcher.updateTargets([this.target.info])
@@ -151,7 +151,7 @@
     fixture.dispatcher.stop()
     let readCount = 0
     const clock = new PausingClock()
-    const drains = new DomainDrains({ instance: 'i', domains: ['a'], evacuateMs, clock, log: new NoopLog() })
+    const drains = new DomainDrains({ instance: 'i', domains: ['a'], drainBoundMs, clock, log: new NoopLog() })
     const dispatcher = createDispatcher(clock, [fixture.target], () => 0, { drains: { state: drains, read: () => { if (++readCount === 1) drains.applyList([], 1, clock.readElapsed()) } } })
     dispatcher.addOwner(fixture.owner)
     dispatcher.updateTargets([fixture.target.info])
@@ -212,7 +212,7 @@
   const load = { freeProcessors: 100_000, usableProcessors: 100_000, waitMs: 0, queuedJobs: 0, largestFree: 32_000 }
 
   function createDrains (clock: ManualClock, drained: readonly string[]): DomainDrains {
-    const drains = new DomainDrains({ instance: 'i', domains: ['a', 'b'], evacuateMs, clock, log: new NoopLog() })
+    const drains = new DomainDrains({ instance: 'i', domains: ['a', 'b'], drainBoundMs, clock, log: new NoopLog() })
     drains.applyList(drained.map(domain => ({ key: `drain/${domain}`, domain, revision: 5 })), 5, 0)
     return drains
   }
--- a/packages/fleet/test/domain-drains.test.ts
+++ b/packages/fleet/test/domain-drains.test.ts
@@ -3,7 +3,7 @@
 import { ManualClock } from '@sesamereel/coordination'
 import { decideStartRule, DomainDrains, EventLog } from '../src/index.js'
 
-const evacuateMs = 5_000
+const drainBoundMs = 5_000
 
 class RecordingLog extends EventLog {
   readonly events: string[] = []
@@ -13,7 +13,7 @@
 function create (instance = 'i', isEnabled = true): { readonly clock: ManualClock, readonly log: RecordingLog, readonly drains: DomainDrains } {
   const clock = new ManualClock()
   const log = new RecordingLog()
-  return { clock, log, drains: new DomainDrains({ instance, domains: ['a', 'b'], evacuateMs: isEnabled ? evacuateMs : undefined, clock, log }) }
+  return { clock, log, drains: new DomainDrains({ instance, domains: ['a', 'b'], drainBoundMs: isEnabled ? drainBoundMs : undefined, clock, log }) }
 }
 
 function createRow (domain: string, revision: number): { readonly key: string, readonly domain: string, readonly revision: number } {
@@ -36,6 +36,15 @@
     assert.equal(drains.isDrained('a'), false, 'the peer has not seen the removal')
   })
 
+  // Guards against the first of several changes of a row being taken for the newest.
+  it('goes by the newest of several changes in one reply of a watch', () => {
+    const { drains } = create()
+    drains.applyChanges([{ ...createRow('a', 5), deleted: false }, { ...createRow('a', 6), deleted: true }])
+    assert.equal(drains.isDrained('a'), false)
+    drains.applyChanges([{ ...createRow('a', 7), deleted: true }, { ...createRow('a', 8), deleted: false }])
+    assert.equal(drains.isDrained('a'), true)
+  })
+
   // A watch reply has a higher revision although it missed the row, so only lists may count as complete.
   it('does not let the changes of another domain withdraw a drain', () => {
     const { drains } = create()
@@ -107,7 +116,7 @@
 })
 
 describe('starts in a drained domain', () => {
-  const inputs = { isDrained: true, beganDrained: false, absentAt: 1_000, now: 4_999, evacuateMs, marginMs: 1_000 }
+  const inputs = { isDrained: true, beganDrained: false, absentAt: 1_000, now: 4_999, drainBoundMs, marginMs: 1_000 }
 
   it('are those of started jobs until a second before the bound', () => {
     assert.deepEqual(decideStartRule({ ...inputs, isDrained: false }), { kind: 'all' })
