Count a body beside unread answers of its connection

Clients that leave answers unread and send bodies could hold more than the budget. What had been read also stayed counted until the connection closed.

--- a/packages/transport/src/client-guard.ts
+++ b/packages/transport/src/client-guard.ts
@@ -49,6 +49,8 @@
   readonly entry: ClientEntry
   /** Bytes that had been read from the socket when the last request ended. */
   readBytes: number
+  /** Bytes of unread answers that are counted in the budget, apart from those of a body that the client sends meanwhile. */
+  unreadBytes: number
   /** Time at which a request could not be parsed. */
   failedMs?: number
 }
@@ -103,7 +105,7 @@
       socket.destroy()
       return
     }
-    this.#connections.set(socket, { socket, entry, readBytes: 0 })
+    this.#connections.set(socket, { socket, entry, readBytes: 0, unreadBytes: 0 })
     this.#sockets.set(entry, socket)
     socket.once('close', () => { this.#forget(socket, entry) })
   }
@@ -230,6 +232,7 @@
 
   #checkConnection (connection: GuardedConnection, nowMs: number): void {
     const { entry } = connection
+    this.#countUnread(connection)
     if (connection.failedMs !== undefined && nowMs - connection.failedMs > failedLingerMs) this.#closeOwn(connection, 'idle')
     else if (entry.requestCount > 0) this.#checkAnswers(connection, nowMs)
     else this.#checkIdle(connection, nowMs)
@@ -243,7 +246,12 @@
     if (isUnread && isReading && nowMs - entry.waitingSinceMs! > maxWaitMs) this.#closeOwn(connection, 'unread')
     else if (isUnread && entry.waitingSinceMs === undefined) this.#budget.waitForClient(entry, 0, nowMs)
     else if (!isUnread && isReading) this.#budget.endWait(entry)
-    if (isUnread && entry.announcedBytes === 0) this.#addBytes(socket, 'buffers', socket.writableLength - entry.bufferBytes)
+  }
+
+  /** Counts the bytes of answers that the client has not read, and releases those that it has read. */
+  #countUnread (connection: GuardedConnection): void {
+    const added = connection.socket.writableLength - connection.unreadBytes
+    if (added !== 0 && this.#addBytes(connection.socket, 'buffers', added)) connection.unreadBytes += added
   }
 
   /** Closes a connection that never sends a request, or sends on after its answer, and counts the bytes of an incomplete header. */
--- a/packages/transport/test/client-guard.test.ts
+++ b/packages/transport/test/client-guard.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { subscribe, unsubscribe } from 'node:diagnostics_channel'
-import { once } from 'node:events'
-import { type RequestListener } from 'node:http'
+import { EventEmitter, once } from 'node:events'
+import { type IncomingMessage, type RequestListener, type ServerResponse } from 'node:http'
 import { connect, type Socket } from 'node:net'
 import { describe, it, type TestContext } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -9,6 +9,13 @@
 
 const request = 'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
 
+/** The part of a socket that the guard reads. */
+class FakeSocket extends EventEmitter {
+  destroyed = false
+  writableLength = 0
+  bytesRead = 0
+}
+
 /** Keeps all decisions against clients. */
 class RecordingObserver extends ClientLimitObserver {
   readonly reports: ClientLimitReport[] = []
@@ -138,4 +145,29 @@
     await once(socket, 'close')
     assert.equal(observer.reports[0]!.limit, 'unrequested-bytes')
   })
+
+  // Guards against bodies that are no longer counted because answers on the same connection are unread, so that the process holds more than its memory.
+  it('counts a body beside unread answers, and releases both', async t => {
+    t.mock.timers.enable({ apis: ['setInterval'] })
+    const budget = new ClientBudget({ connections: { callers: 3, readiness: 1, metrics: 1 }, requests: 10, pipelined: { callers: 4, readiness: 1, metrics: 1 }, heapBytes: 10_000_000, bufferBytes: 1_000_000 })
+    const guard = new ClientGuard(budget, new RecordingObserver(), () => performance.now(), () => 0)
+    const socket = new FakeSocket()
+    const connection = socket as unknown as Socket
+    guard.addConnection(connection, 'callers')
+    const responses = [new EventEmitter(), new EventEmitter()]
+    for (const response of responses) assert.ok(guard.beginRequest({ socket, rawHeaders: [], url: '/x' } as unknown as IncomingMessage, response as ServerResponse))
+    socket.writableLength = 100
+    t.mock.timers.tick(250)
+    guard.beginBody(connection, 262_144)
+    assert.ok(guard.addBuffers(connection, 16_384))
+    t.mock.timers.tick(250)
+    assert.equal(budget.usage.bufferBytes, 16_484)
+    guard.addBuffers(connection, -16_384)
+    assert.equal(budget.usage.bufferBytes, 100)
+    socket.writableLength = 0
+    for (const response of responses) response.emit('close')
+    t.mock.timers.tick(250)
+    assert.equal(budget.usage.bufferBytes, 0)
+    guard.close()
+  })
 })
