--- a/packages/transport/src/client-guard.ts
+++ b/packages/transport/src/client-guard.ts
@@ -233,6 +233,7 @@
   #checkConnection (connection: GuardedConnection, nowMs: number): void {
     const { entry } = connection
     this.#countUnread(connection)
+    if (connection.socket.destroyed) return
     if (connection.failedMs !== undefined && nowMs - connection.failedMs > failedLingerMs) this.#closeOwn(connection, 'idle')
     else if (entry.requestCount > 0) this.#checkAnswers(connection, nowMs)
     else this.#checkIdle(connection, nowMs)
