--- a/packages/transport/src/client-guard.ts
+++ b/packages/transport/src/client-guard.ts
@@ -55,6 +55,8 @@
   unreadBytes: number
   /** Time at which a request could not be parsed. */
   failedMs?: number
+  /** Request whose body the client sends; the next one of a pipelining client begins before the one before it is known to be complete. */
+  sending?: IncomingMessage
 }
 
 /** Applies the budget of a process to the connections of its listeners. */
@@ -163,22 +165,30 @@
     return this.#addBytes(socket, 'buffers', bytes)
   }
 
-  /** Notes that a client begins to send a body. */
-  beginBody (socket: Socket, announcedBytes: number): void {
-    const entry = this.#connections.get(socket)?.entry
-    if (entry !== undefined) this.#budget.waitForClient(entry, announcedBytes, this.#now())
+  /**
+   * Notes that a client begins to send a body.
+   *
+   * @param announcedBytes - length of the body; the size limit if it was not announced
+   */
+  beginBody (request: IncomingMessage, announcedBytes: number): void {
+    const connection = this.#connections.get(request.socket)
+    if (connection === undefined) return
+    connection.sending = request
+    this.#budget.waitForClient(connection.entry, announcedBytes, this.#now())
   }
 
-  /** Notes how much of a body has arrived. */
-  updateBody (socket: Socket, receivedBytes: number): void {
-    const entry = this.#connections.get(socket)?.entry
-    if (entry?.waitingSinceMs !== undefined) entry.receivedBytes = receivedBytes
+  /** Notes how many bytes of a body have arrived. */
+  updateBody (request: IncomingMessage, receivedBytes: number): void {
+    const connection = this.#connections.get(request.socket)
+    if (connection?.sending === request && connection.entry.waitingSinceMs !== undefined) connection.entry.receivedBytes = receivedBytes
   }
 
-  /** Notes that a body is complete. */
-  endBody (socket: Socket): void {
-    const entry = this.#connections.get(socket)?.entry
-    if (entry !== undefined) this.#budget.endWait(entry)
+  /** Notes that a body is complete. The client is waited for further if it already sends the next one. */
+  endBody (request: IncomingMessage): void {
+    const connection = this.#connections.get(request.socket)
+    if (connection?.sending !== request) return
+    delete connection.sending
+    this.#budget.endWait(connection.entry)
   }
 
   /** Reports that a request was refused because of its own size or time, which needs no decision of the budget. */
--- a/packages/transport/test/client-guard.test.ts
+++ b/packages/transport/test/client-guard.test.ts
@@ -14,6 +14,8 @@
   destroyed = false
   writableLength = 0
   bytesRead = 0
+
+  destroy (): void { this.destroyed = true }
 }
 
 /** Keeps all decisions against clients. */
@@ -155,10 +157,11 @@
     const connection = socket as unknown as Socket
     guard.addConnection(connection, 'callers')
     const responses = [new EventEmitter(), new EventEmitter()]
-    for (const response of responses) assert.ok(guard.beginRequest({ socket, rawHeaders: [], url: '/x' } as unknown as IncomingMessage, response as ServerResponse))
+    const message = { socket, rawHeaders: [], url: '/x' } as unknown as IncomingMessage
+    for (const response of responses) assert.ok(guard.beginRequest(message, response as ServerResponse))
     socket.writableLength = 100
     t.mock.timers.tick(250)
-    guard.beginBody(connection, 262_144)
+    guard.beginBody(message, 262_144)
     assert.ok(guard.addBuffers(connection, 16_384))
     t.mock.timers.tick(250)
     assert.equal(budget.usage.bufferBytes, 16_484)
@@ -170,4 +173,28 @@
     assert.equal(budget.usage.bufferBytes, 0)
     guard.close()
   })
+
+  // Guards against a client that stops in its second pipelined body and can't be evicted, because the end of the first one counted for both.
+  it('evicts a client that stops in a pipelined body', t => {
+    t.mock.timers.enable({ apis: ['setInterval'] })
+    const budget = new ClientBudget({ connections: { callers: 3, readiness: 1, metrics: 1 }, requests: 10, pipelined: { callers: 4, readiness: 1, metrics: 1 }, heapBytes: 10_000_000, bufferBytes: 64 * 1024 })
+    const guard = new ClientGuard(budget, new RecordingObserver(), () => 0, () => 0)
+    const createRequest = (socket: FakeSocket): IncomingMessage => {
+      const message = { socket, rawHeaders: [], url: '/x' } as unknown as IncomingMessage
+      assert.ok(guard.beginRequest(message, new EventEmitter() as ServerResponse))
+      guard.beginBody(message, 262_144)
+      return message
+    }
+    const [stalled, ordinary] = [new FakeSocket(), new FakeSocket()]
+    for (const socket of [stalled, ordinary]) guard.addConnection(socket as unknown as Socket, 'callers')
+    const first = createRequest(stalled)
+    createRequest(stalled)
+    guard.endBody(first)
+    assert.ok(guard.addBuffers(stalled as unknown as Socket, 60 * 1024))
+    const last = createRequest(ordinary)
+    guard.endBody(last)
+    assert.ok(guard.addBuffers(ordinary as unknown as Socket, 16 * 1024))
+    assert.deepEqual([stalled.destroyed, ordinary.destroyed], [true, false])
+    guard.close()
+  })
 })
