Form the key of a queue in one place

Cause: the key stood in the learned run times and in the queue floor. Change: queue-key.ts, units in two doc comments; no behaviour.

--- a/packages/fleet/src/contention.ts
+++ b/packages/fleet/src/contention.ts
@@ -2,6 +2,7 @@
 import { type LogFields } from './event-log.js'
 import { computeUsualSlowness } from './load-estimates.js'
 import { FairQueueFloor, NoQueueFloor, type QueueFloor } from './queue-floor.js'
+import { formatQueueKey } from './queue-key.js'
 import { compareInOverload, compareJobs, sortQueue } from './queue-order.js'
 import { type LearnedRunTime, RunTimeModel } from './run-time-model.js'
 import { type TargetSession } from './target-session.js'
@@ -47,7 +48,8 @@
   /**
    * Learns from a run that ended with `done`; called before the target's slowness counts it.
    *
-   * @param tookMs - time from the start order until the end was seen
+   * @param tookMs - time in milliseconds from the start order until the end was seen
+   * @param now - monotonic time in milliseconds
    */
   recordRun (job: DispatchedJob, task: TaskRecord, session: TargetSession, tookMs: number, now: number): void {
     const { service } = job.spec
@@ -89,7 +91,7 @@
     const floor: LogFields = this.floor.isBelow(job) ? { belowFloor: true } : {}
     if (learned === undefined) return floor
     const usualSlowness = this.#getUsualSlowness(job.spec.service)
-    return { ...floor, runTimeRatio: round(learned.median), runTimeUpper: round(learned.upper), runTimeRuns: learned.runs, usualSlowness: round(usualSlowness) }
+    return { ...floor, runTimeRatio: roundToHundredths(learned.median), runTimeUpper: roundToHundredths(learned.upper), runTimeRuns: learned.runs, usualSlowness: roundToHundredths(usualSlowness) }
   }
 
   /** @returns what was learned for each queue, for metrics */
@@ -102,11 +104,6 @@
   }
 }
 
-/** @returns the key of a job's queue: jobs of one service and priority have one */
-function formatQueueKey (job: DispatchedJob): string {
-  return `${job.spec.service} ${job.priority}`
-}
-
-function round (ratio: number): number {
+function roundToHundredths (ratio: number): number {
   return Math.round(ratio * 100) / 100
 }
--- a/packages/fleet/src/queue-floor.ts
+++ b/packages/fleet/src/queue-floor.ts
@@ -1,6 +1,7 @@
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { FairShares, moveFirst, type QueueWork } from './fair-shares.js'
 import { sumWaitingWork } from './load-estimates.js'
+import { formatQueueKey } from './queue-key.js'
 import { classifyUrgency } from './queue-order.js'
 
 /** Services whose queues are compared; those of further ones have no floor. */
@@ -113,7 +114,3 @@
     return shares
   }
 }
-
-function formatQueueKey (job: DispatchedJob): string {
-  return `${job.spec.service} ${job.priority}`
-}
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -49,7 +49,7 @@
   /**
    * Starts as many waiting tasks as fit, in the order of the queue, and tells the owners which jobs have started.
    *
-   * @param now - time from which the deadlines of the orders count
+   * @param now - monotonic time in milliseconds from which the deadlines of the orders count
    */
   startTasks (now = this.#state.now()): void {
     const { queue, sessions } = this.#state
