--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -1,7 +1,9 @@
 // Starts the program of the deploy file as separate processes, with stand-ins for the store, the workers and the clients.
 import { spawn } from 'node:child_process'
+import { once } from 'node:events'
 import { mkdtempSync, rmSync, writeFileSync, readFileSync } from 'node:fs'
 import { request } from 'node:http'
+import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join, resolve } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -30,6 +32,8 @@
   #startedAt = performance.now()
   #lines = []
   #recordPath
+  #darkServers = []
+  #darkSockets = new Set()
 
   /** @param folder - folder of the case, for `record.txt` */
   constructor (folder) { this.#recordPath = resolve(folder, 'record.txt') }
@@ -110,6 +114,16 @@
     this.record('start-instance', { instance: instance.name })
   }
 
+  /** Makes the address of an instance that has ended behave as that of a machine without power: connections get no answer. */
+  async darken (instance) {
+    const server = createServer()
+    server.listen(7720, instance.ip)
+    await once(server, 'listening')
+    server.on('connection', socket => { this.#darkSockets.add(socket); socket.on('error', () => {}) })
+    this.#darkServers.push(server)
+    this.record('machine-lost', { instance: instance.name })
+  }
+
   signal (instance, signal) {
     this.record('signal', { instance: instance.name, signal })
     instance.child?.kill(signal)
@@ -161,6 +175,8 @@
     for (const { child } of this.instances) child?.kill('SIGKILL')
     for (const worker of this.workers) worker.close()
     this.store.close()
+    for (const socket of this.#darkSockets) socket.destroy()
+    for (const server of this.#darkServers) server.close()
     await pause(200)
     writeFileSync(this.#recordPath, this.#lines.map(line => `${JSON.stringify(line)}\n`).join(''))
     rmSync(this.#folder, { recursive: true, force: true })
