--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -29,6 +29,8 @@
   #seq = 0
   #isUp = true
   state = 'ready'
+  /** Delay in milliseconds with which start orders are carried out, without an answer; undefined to answer them at once. */
+  lateOrderMs
 
   /**
    * @param options - id, service, zone, labels, capacity, guards, store and host
@@ -110,6 +112,7 @@
     const expected = request.headers['expected-instance']
     if (expected !== undefined && expected !== this.id) return this.#respond(response, 421, {})
     const body = JSON.parse(Buffer.concat(chunks).toString('utf8'))
+    if (request.url === '/api/run-start' && this.lateOrderMs !== undefined) return this.#delayOrder(body)
     this.#expire()
     const { fence = 0 } = body
     if (fence < this.#fence) return this.#respond(response, 409, { reason: 'fence' })
@@ -120,6 +123,21 @@
     else this.#respond(response, 404, {})
   }
 
+  /** Leaves an order unanswered. It arrives later, at whatever incarnation is up then. */
+  #delayOrder (body) {
+    const delayMs = this.lateOrderMs()
+    this.#record('order-delayed', { worker: this.id, task: body.task, attempt: body.attempt, delayMs: Math.round(delayMs) })
+    setTimeout(() => {
+      if (!this.#isUp) return
+      this.#expire()
+      const isFenced = body.fence < this.#fence
+      this.#record('order-arrives', { worker: this.id, task: body.task, attempt: body.attempt, isFenced })
+      if (isFenced) return
+      this.#fence = body.fence
+      this.#startRun(body, undefined)
+    }, delayMs)
+  }
+
   #startRun ({ task, attempt, spec, deadline_ms: deadline }, response) {
     if (this.#runs.has(formatRun(task, attempt))) return this.#respond(response, 200, {})
     if (this.#clock() > deadline) return this.#respond(response, 409, { reason: 'late' })
@@ -177,6 +195,7 @@
   #clock () { return Math.round(performance.now() - this.#startedAt) }
 
   #respond (response, status, body) {
+    if (response === undefined) return
     response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify({ ...body, clock_ms: this.#clock(), born: this.#born }))
   }
 }
