--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -28,7 +28,7 @@
 await runCase(folder, async () => await startSmallFleet(folder, configuration, 5), async fleet => {
   let count = 0
   for (let round = 0; round < rounds; round++) {
-    const holder = JSON.parse(fleet.store.read('sesamereel', `dispatcher/${zone}`)).instance
+    const holder = await fleet.waitForDispatcher(zone)
     const dispatcher = fleet.instances.find(({ name }) => name === holder)
     const owners = fleet.instances.filter(instance => instance.zone === zone && instance !== dispatcher)
     const workers = fleet.workers.filter(({ id }) => id.includes(zone)).slice(0, 2)
--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -144,6 +144,17 @@
     }
   }
 
+  /** Waits until the store has the row of a domain's dispatcher, and returns the dispatcher's name. */
+  async waitForDispatcher (zone) {
+    const until = performance.now() + readyTimeoutMs
+    for (;;) {
+      const row = this.store.read('sesamereel', `dispatcher/${zone}`)
+      if (row !== undefined) return JSON.parse(row).instance
+      if (performance.now() > until) throw new Error(`no dispatcher in ${zone}`)
+      await pause(50)
+    }
+  }
+
   /** Sends one HTTP request over a connection of its own. A status of 0 stands for a broken connection or no answer in time. */
   async send (method, address, path, { host, body, waitMs, headers = {} }) {
     return await new Promise(resolve => {
