--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -33,7 +33,10 @@
     const owners = fleet.instances.filter(instance => instance.zone === zone && instance !== dispatcher)
     const workers = fleet.workers.filter(({ id }) => id.includes(zone)).slice(0, 2)
     const startedAt = fleet.now()
-    if (hasTrouble) for (const worker of workers) worker.lateOrderMs = () => restartAt - (fleet.now() - startedAt) + 2 + Math.random() * arrivalMs
+    if (hasTrouble) {
+      let orders = 0
+      for (const worker of workers) worker.lateOrderMs = () => orders++ % 2 === 1 ? undefined : restartAt - (fleet.now() - startedAt) + 2 + Math.random() * arrivalMs
+    }
     const calls = Array.from({ length: jobsPerRound }, (_, index) => fleet.callJob('POST', owners[index % owners.length], { host, prefix, id: (++count).toString(16).padStart(16, '0'), job, waitMs }))
     await pause(crashAt)
     if (hasTrouble) {
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -29,7 +29,7 @@
   #seq = 0
   #isUp = true
   state = 'ready'
-  /** Delay in milliseconds with which start orders are carried out, without an answer; undefined to answer them at once. */
+  /** Delay in milliseconds with which start orders are carried out, without an answer; undefined, or a function that returns undefined, to answer them at once. */
   lateOrderMs
 
   /**
@@ -112,7 +112,8 @@
     const expected = request.headers['expected-instance']
     if (expected !== undefined && expected !== this.id) return this.#respond(response, 421, {})
     const body = JSON.parse(Buffer.concat(chunks).toString('utf8'))
-    if (request.url === '/api/run-start' && this.lateOrderMs !== undefined) return this.#delayOrder(body)
+    const delayMs = request.url === '/api/run-start' ? this.lateOrderMs?.() : undefined
+    if (delayMs !== undefined) return this.#delayOrder(body, delayMs)
     this.#expire()
     const { fence = 0 } = body
     if (fence < this.#fence) return this.#respond(response, 409, { reason: 'fence' })
@@ -124,8 +125,7 @@
   }
 
   /** Leaves an order unanswered. It arrives later, at whatever incarnation is up then. */
-  #delayOrder (body) {
-    const delayMs = this.lateOrderMs()
+  #delayOrder (body, delayMs) {
     this.#record('order-delayed', { worker: this.id, task: body.task, attempt: body.attempt, delayMs: Math.round(delayMs) })
     setTimeout(() => {
       if (!this.#isUp) return
