--- a/packages/emulator/src/emulated-connector.ts
+++ b/packages/emulator/src/emulated-connector.ts
@@ -4,7 +4,7 @@
 import { type EmulatedTarget } from './emulated-target.js'
 import { type RandomSource } from './random-source.js'
 
-/** Range in milliseconds of the delay after which a late order reaches its target. */
+/** Range in milliseconds of the delay after which a late order reaches its target, unless the fleet states another. */
 const minLateDelayMs = 2_000
 const maxLateDelayMs = 12_000
 
@@ -17,6 +17,8 @@
 export interface LateOrders {
   /** From 0 to 1, for each order or poll. */
   probability: number
+  /** Shortest and longest delay in milliseconds. */
+  delayMs?: readonly [number, number]
 }
 
 /** Connects one instance to the emulated targets over the emulated network. */
@@ -50,7 +52,8 @@
    */
   async call<T> (target: EmulatedTarget, timeoutMs: number, serve: (reply: (value: T) => void) => void): Promise<T | NoReply> {
     if (this.#random.drawBoolean(this.#lateOrders.probability)) {
-      this.#clock.startTimer(this.#random.pickInteger(minLateDelayMs, maxLateDelayMs), () => { if (target.isUp) serve(() => {}) })
+      const [minMs, maxMs] = this.#lateOrders.delayMs ?? [minLateDelayMs, maxLateDelayMs]
+      this.#clock.startTimer(this.#random.pickInteger(minMs, maxMs), () => { if (target.isUp) serve(() => {}) })
       await new Promise<void>(resolve => { this.#network.getClock(this.#endpoint).startTimer(timeoutMs, resolve) })
       return noAnswer
     }
--- a/packages/fleet/src/dispatch-state.ts
+++ b/packages/fleet/src/dispatch-state.ts
@@ -7,6 +7,7 @@
 import { type JobOutcome, parseTaskName, type RejectionReason, type TaskName } from './job-types.js'
 import { estimateNominalThroughput, summarizeLoad } from './load-estimates.js'
 import { type DispatcherMessage, type LoadSummary } from './messages.js'
+import { OutstandingOrders, type StartHold } from './outstanding-orders.js'
 import { OwnerRegistry } from './owner-registry.js'
 import { ProcessingDelay } from './processing-delay.js'
 import { type FleetLimits } from './limits.js'
@@ -88,6 +89,8 @@
   readonly unclaimedRuns: UnclaimedRuns
   /** The targets that were lost under each task. */
   readonly losses = new TargetLosses()
+  /** Start orders that later incarnations of their targets may carry out. */
+  readonly outstanding = new OutstandingOrders()
   readonly processingDelay = new ProcessingDelay(maintenanceIntervalMs)
   readonly contention: Contention
   readonly #efficiency = new DispatchEfficiency()
@@ -163,6 +166,11 @@
     return { job, task: job?.findTask(parsed!.step, parsed!.index) }
   }
 
+  /** @returns where a task may start although start orders of it are outstanding; undefined if there are none */
+  findHold (task: TaskRecord): StartHold | undefined {
+    return this.outstanding.size === 0 ? undefined : this.outstanding.findHold(task.name, this.now())
+  }
+
   findOutcome (jobId: string): JobOutcome | undefined {
     return this.#outcomes.find(jobId)
   }
@@ -358,12 +366,13 @@
     this.#unreportedDone = new Map()
   }
 
-  /** Removes outcomes, rejections, repeats and losses that have been kept for their retention time. */
+  /** Removes outcomes, rejections, repeats, losses and outstanding orders that have been kept for their retention time. */
   expireOutcomes (now: number): void {
     this.#outcomes.expire(now)
     this.#rejections.expire(now)
     this.#repeats.expire(now)
     this.losses.expire(now)
+    this.outstanding.expire(now)
   }
 
   #stopRuns (job: DispatchedJob): void {
--- a/packages/fleet/src/dispatcher-connection.ts
+++ b/packages/fleet/src/dispatcher-connection.ts
@@ -82,6 +82,7 @@
   #streamCount = 0
   #token = 0
   #load: LoadSummary | undefined
+  #settledSequence = 0
   readonly #lingering = new LingeringList()
   readonly #cancelled: CancelledJobs
   #disconnectedAt: number
@@ -120,6 +121,8 @@
   get isConnected (): boolean { return this.#connected }
   get token (): number { return this.#token }
   get load (): LoadSummary | undefined { return this.#load }
+  /** Sequence number up to which the dispatcher's announcements of starts are settled. */
+  get settledSequence (): number { return this.#settledSequence }
   /** Instance to which this connection was made last. */
   get holder (): string | undefined { return this.#holder?.instance }
   /** Whether the holder that the directory names has proved not to dispatch any more. */
@@ -254,7 +257,7 @@
   #createHello (): OwnerMessage {
     const { self, domain } = this.#options
     this.#streamCount++
-    return { type: 'hello', instance: self.instance, incarnation: self.incarnation, domain, sequence: this.#streamCount, expectsList: true, ...this.#options.drains?.describe() }
+    return { type: 'hello', instance: self.instance, incarnation: self.incarnation, domain, sequence: this.#streamCount, expectsList: true, confirmsStarts: true, ...this.#options.drains?.describe() }
   }
 
   /** @returns whether this process has a dispatcher of the domain */
@@ -328,6 +331,7 @@
       case 'heartbeat':
         this.#lingering.update(message, this.#options.clock.now())
         this.#cancelled.merge(message.cancelledAdded ?? [], this.#lastMessageAt)
+        this.#settledSequence = message.settledSequence ?? 0
         this.#handleLoad(message)
         this.#replyToHeartbeat(message.sentAt)
         return
@@ -351,6 +355,7 @@
     this.#previousHasEnded = false
     this.#lingering.begin(lingering, isNew, this.#options.clock.now())
     this.#connected = true
+    this.#settledSequence = 0
     this.#observedMs = 0
     this.#isHolderGone = false
     this.#triedIncarnation = endpoint.incarnation
--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -6,6 +6,7 @@
 import { DrainDispatch, type DispatcherDrains } from './drain-dispatch.js'
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
+import { HeldTasks } from './held-tasks.js'
 import { JobIntake } from './job-intake.js'
 import { type FleetLimits } from './limits.js'
 import { EntryRequests } from './entry-requests.js'
@@ -16,6 +17,7 @@
 import { type LearnedRunTime } from './run-time-model.js'
 import { RunTracker } from './run-tracker.js'
 import { SessionContexts } from './session-contexts.js'
+import { StartAnnouncements } from './start-announcements.js'
 import { TargetSession } from './target-session.js'
 import { type TargetConnector, type TargetInfo } from './target-types.js'
 import { TaskScheduler } from './task-scheduler.js'
@@ -84,6 +86,8 @@
   readonly #cancellations: CancellationIntake
   readonly #tracker: RunTracker
   readonly #scheduler: TaskScheduler
+  readonly #announcements: StartAnnouncements
+  readonly #heldTasks: HeldTasks
   readonly #mailbox: Mailbox<() => void>
   readonly #startedAt: number
   readonly #sessionContexts: SessionContexts
@@ -106,11 +110,14 @@
     this.#intake = new JobIntake(this.#state, this.#drain)
     this.#cancellations = new CancellationIntake(this.#state, options.cancelled ?? new CancelledJobs())
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
-    this.#tracker = new RunTracker(this.#state, options.limits.lateOrderMs, {
+    this.#announcements = new StartAnnouncements(this.#state, options.limits.lateOrderMs)
+    this.#heldTasks = new HeldTasks(this.#state, options.limits, this.#sessionContexts)
+    this.#tracker = new RunTracker(this.#state, options.limits.lateOrderMs, this.#announcements, {
       onChange: () => { this.#mailbox.schedule() },
-      onSuperseded: session => { this.#onSuperseded(session) }
+      onSuperseded: session => { this.#onSuperseded(session) },
+      onOrderSettled: (task, attempt) => { this.#heldTasks.reportSettled(task, attempt) }
     })
-    this.#scheduler = new TaskScheduler(this.#state, () => this.#token, options.remoteFactor, createLocalityPolicy(this.#state, options.remoteFactor, options.waitsForLocality === true))
+    this.#scheduler = new TaskScheduler(this.#state, () => this.#token, options.remoteFactor, createLocalityPolicy(this.#state, options.remoteFactor, options.waitsForLocality === true), this.#announcements)
     this.#cancelMaintenance = startPeriodicTimer(options.clock, maintenanceIntervalMs, () => { this.#mailbox.post(() => { this.#runMaintenance() }) })
   }
 
@@ -118,6 +125,8 @@
   get domain (): string { return this.#options.domain }
   get queueLength (): number { return this.#state.queue.size }
   get isStopped (): boolean { return this.#stopped }
+  /** Sequence number up to which the orders of all announcements are settled. */
+  get settledSequence (): number { return this.#announcements.settledSequence }
 
   /** @returns milliseconds since the oldest queued job was received; 0 when the queue is empty */
   measureQueueAgeMs (): number {
@@ -213,12 +222,12 @@
 
   /**
    * @returns ids of jobs that a resubmission may meet here: old jobs, jobs whose owner is
-   *   disconnected, jobs known only by their runs, and jobs under whose tasks targets were lost
+   *   disconnected, jobs known only by their runs, jobs under whose tasks targets were lost, and jobs with outstanding start orders
    */
   listLingering (): readonly string[] {
-    const { jobs, runs, owners, losses } = this.#state
+    const { jobs, runs, owners, losses, outstanding } = this.#state
     const acceptedBefore = this.#state.readElapsed() - this.#options.limits.resubmitMs + resubmitMarginMs
-    const ids = new Set<string>(losses.listJobs())
+    const ids = new Set<string>([...losses.listJobs(), ...outstanding.listJobs()])
     for (const job of jobs.values()) {
       if (job.acceptedElapsed < acceptedBefore || !owners.isConnected(job.ownerId)) ids.add(job.id)
     }
@@ -249,6 +258,8 @@
       case 'submit':
         if (!this.#cancellations.refuse(connection, message)) this.#intake.handleSubmission(connection, message, job => this.#findReleaseEvidence(job))
         break
+      case 'start-confirmation': this.#announcements.confirm(connection, message.sequence); break
+      case 'earlier-orders': this.#heldTasks.receive(connection, message.orders); break
       case 'withdraw': this.#intake.withdraw(connection, message); break
       case 'cancel': this.#intake.cancel(connection, message, message.reason); break
       case 'cancel-any': this.#cancellations.cancel(connection, message.jobId, message.known === true); break
@@ -267,7 +278,12 @@
     // Read first: the deadlines of the orders count from this time, so that a pause after the decision makes targets refuse them.
     const now = this.#state.now()
     const mayStart = this.#drain.settleJobs()
-    if (mayStart && !this.#startsPaused && !this.#awaitsList()) this.#scheduler.startTasks(now)
+    if (mayStart && !this.#startsPaused && !this.#awaitsList()) {
+      this.#scheduler.startTasks(now)
+      this.#scheduler.orderConfirmed(now)
+    } else {
+      this.#scheduler.dropConfirmed()
+    }
     this.#state.reportProgress()
   }
 
@@ -367,6 +383,8 @@
     this.#state.contention.update(this.#state.sessions.values(), now)
     for (const { queue, offered, started, isBelow } of this.#state.contention.floor.update(now)) this.#state.log('belief', 'queue-floor', { queue, below: isBelow, offered: Math.round(offered), started: Math.round(started), fraction: this.#options.queueFloor })
     this.#intake.shedQueuedJobs(now)
+    this.#announcements.check(now)
+    this.#heldTasks.check(now)
     this.#tracker.pollStaleTargets(now)
     this.#dropUnlistedTargets()
     this.#requestEntries(now)
--- a/packages/fleet/src/fleet-metrics.ts
+++ b/packages/fleet/src/fleet-metrics.ts
@@ -2,6 +2,13 @@
 export abstract class FleetMetrics {
   /** Records a target's reply to a start order, and the time until it came. */
   abstract observeStartOrder (answer: string, durationMs: number): void
+  /** Records how an announcement of start orders ended, and the time until then. */
+  abstract observeAnnouncement (outcome: 'confirmed' | 'given-up', durationMs: number): void
+  /**
+   * Counts start orders that a later incarnation of their target may carry out: those that were not answered, those of lost
+   * dispatchers that witnesses report, tasks that are held for them, and jobs that are given up for them.
+   */
+  abstract countOutstandingOrders (event: 'unanswered' | 'reported' | 'held' | 'given-up', count: number): void
   abstract countRunEnd (kind: string): void
   /** Counts that this instance has become a dispatcher. */
   abstract countTakeover (cause: string): void
@@ -46,6 +53,8 @@
 /** Discards all metrics; for tests. */
 export class NoopMetrics extends FleetMetrics {
   override observeStartOrder (): void {}
+  override observeAnnouncement (): void {}
+  override countOutstandingOrders (): void {}
   override countRunEnd (): void {}
   override countTakeover (): void {}
   override countSecondRun (): void {}
--- a/packages/fleet/src/heartbeat-source.ts
+++ b/packages/fleet/src/heartbeat-source.ts
@@ -40,6 +40,7 @@
       sentAt,
       load: this.#dispatcher.summarizeLoad(),
       configurationVersion,
+      settledSequence: this.#dispatcher.settledSequence,
       ...(added.length > 0 ? { lingeringAdded: added } : {}),
       ...(removed.length > 0 ? { lingeringRemoved: removed } : {}),
       ...(cancelled.entries.length > 0 ? { cancelledAdded: cancelled.entries } : {})
--- /dev/null
+++ b/packages/fleet/src/held-tasks.ts
@@ -0,0 +1,83 @@
+import { type DispatchState } from './dispatch-state.js'
+import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
+import { slowestClockRate, type FleetLimits } from './limits.js'
+import { type EarlierOrder } from './messages.js'
+import { allowsTarget, type StartHold } from './outstanding-orders.js'
+import { type OwnerConnection } from './owner-registry.js'
+import { type SessionContexts } from './session-contexts.js'
+
+/**
+ * Tasks that may start only at one target, because an order of them may still be carried out there after a restart. Learns of the
+ * orders of lost dispatchers, and ends jobs that can't wait for the target or for the end of the hold.
+ */
+export class HeldTasks {
+  readonly #state: DispatchState
+  readonly #limits: FleetLimits
+  readonly #contexts: SessionContexts
+  /** Held tasks that were logged. */
+  readonly #logged = new WeakSet<TaskRecord>()
+  /** Connections of the witnesses that have reported orders, by task. */
+  readonly #reporters = new Map<string, OwnerConnection>()
+
+  constructor (state: DispatchState, limits: FleetLimits, contexts: SessionContexts) {
+    this.#state = state
+    this.#limits = limits
+    this.#contexts = contexts
+  }
+
+  /** Records the orders of lost dispatchers that a witness reports. */
+  receive (connection: OwnerConnection, orders: readonly EarlierOrder[]): void {
+    const now = this.#state.now()
+    for (const { task, attempt, target, isUnanswered, remainingMs } of orders) {
+      if (!isUnanswered && this.#state.sessions.get(target)?.hasListed(task, attempt) === true) {
+        connection.send({ type: 'order-settled', task, attempt })
+        continue
+      }
+      this.#reporters.set(task, connection)
+      this.#state.outstanding.record({ task, attempt, target, expiresAt: now + remainingMs }, isUnanswered ? Infinity : 1)
+      this.#contexts.awaitIncarnations(target, now + remainingMs)
+    }
+    this.#state.metrics.countOutstandingOrders('reported', orders.length)
+    this.#state.log('belief', 'earlier-orders-known', { owner: connection.ownerId, orders: orders.length, targets: new Set(orders.map(({ target }) => target)).size, longestMs: Math.round(Math.max(...orders.map(({ remainingMs }) => remainingMs))) })
+  }
+
+  /** Tells the witness that has reported an order that it was carried out. */
+  reportSettled (task: string, attempt: number): void {
+    this.#reporters.get(task)?.send({ type: 'order-settled', task, attempt })
+    this.#reporters.delete(task)
+  }
+
+  /**
+   * Ends the jobs with a waiting task whose only target is out of reach, if their answers are of no use by the end of the hold.
+   */
+  check (now: number): void {
+    const { outstanding } = this.#state
+    if (outstanding.size === 0) {
+      this.#reporters.clear()
+      return
+    }
+    for (const name of outstanding.listTasks()) {
+      const { job, task } = this.#state.findTask(name)
+      const hold = outstanding.findHold(name, now)
+      if (job === undefined || task?.state !== 'waiting' || hold === undefined) continue
+      const isReachable = this.#isReachable(hold, now)
+      this.#logHold(job, task, hold, now, isReachable)
+      if (isReachable || job.usefulUntil >= hold.expiresAt) continue
+      this.#state.metrics.countOutstandingOrders('given-up', 1)
+      this.#state.endJob(job, { kind: 'unknown', reason: 'start-unconfirmed' })
+    }
+  }
+
+  /** @returns whether a target that the hold allows may start tasks, or has answered polls until a moment ago */
+  #isReachable (hold: StartHold, now: number): boolean {
+    const lossMs = this.#limits.maxLeaseMs / slowestClockRate
+    return [...this.#state.sessions.values()].some(session => allowsTarget(hold, session.info) && !session.info.draining && now - session.lastViewAt <= lossMs)
+  }
+
+  #logHold (job: DispatchedJob, task: TaskRecord, { target, expiresAt }: StartHold, now: number, isReachable: boolean): void {
+    if (this.#logged.has(task)) return
+    this.#logged.add(task)
+    this.#state.metrics.countOutstandingOrders('held', 1)
+    this.#state.log('order', 'task-held-for-order', { job: job.id, task: task.name, target, reachable: isReachable, holdMs: Math.round(expiresAt - now), usefulMs: Math.round(job.usefulUntil - now) })
+  }
+}
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -25,6 +25,22 @@
   readonly losses?: TaskLosses
 }
 
+/** A start order that a dispatcher is about to send. */
+export interface AnnouncedStart {
+  readonly task: string
+  readonly attempt: number
+  /** Id of the target. */
+  readonly target: string
+}
+
+/** A start order of a lost dispatcher that may still be carried out. */
+export interface EarlierOrder extends AnnouncedStart {
+  /** Whether the order is known to have had no answer, so that it may have been sent several times. */
+  readonly isUnanswered: boolean
+  /** Time in milliseconds after which it can't be carried out any more. */
+  readonly remainingMs: number
+}
+
 /** Load of a dispatcher, as reported to its owners. */
 export interface LoadSummary {
   /** Free processors at usable targets, in thousandths of a core. */
@@ -44,9 +60,9 @@
 export type OwnerMessage =
   /**
    * `sequence` rises with each connection that the owner opens to the domain; `expectsList` asks for the list of
-   * lingering jobs in the welcome. Earlier versions omit both.
+   * lingering jobs in the welcome; `confirmsStarts` says that the owner confirms announcements of starts. Earlier versions omit them.
    */
-  | ({ readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number, readonly expectsList?: boolean } & DrainCarrier)
+  | ({ readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number, readonly expectsList?: boolean, readonly confirmsStarts?: boolean } & DrainCarrier)
   /**
    * Answers a heartbeat, or the welcome; `heardSentAt` is its `sentAt`. `cancelled`, in the answer to a welcome, holds the
    * cancelled jobs that the welcome did not list.
@@ -55,6 +71,10 @@
   /** Asks a dispatcher that has been silent for a pong. `heardSentAt` is the newest `sentAt` that the owner has received on this connection; earlier versions omit it. */
   | { readonly type: 'ping', readonly configurationVersion: number, readonly heardSentAt?: number }
   | ({ readonly type: 'submit' } & Submission)
+  /** Confirms that the sender knows the orders of an announcement. */
+  | { readonly type: 'start-confirmation', readonly sequence: number }
+  /** Orders of lost dispatchers whose answers the sender does not know; sent before the jobs that they concern. */
+  | { readonly type: 'earlier-orders', readonly orders: readonly EarlierOrder[] }
   | { readonly type: 'withdraw', readonly jobId: string, readonly submissionId?: number }
   | { readonly type: 'cancel', readonly jobId: string, readonly reason: string, readonly submissionId?: number }
   /**
@@ -80,6 +100,8 @@
   readonly lingeringRemoved?: readonly string[]
   /** Jobs that were cancelled, or became known to be, since the last heartbeat; absent if there are none. */
   readonly cancelledAdded?: readonly CancelledEntry[]
+  /** Announcements up to this sequence number concern no order whose answer is open, apart from those reported as unanswered; earlier versions omit it. */
+  readonly settledSequence?: number
 }
 
 /** Messages from a dispatcher to an owner. */
@@ -100,6 +122,12 @@
    */
   | { readonly type: 'pong', readonly sentAt?: number, readonly load: LoadSummary, readonly lingering?: readonly string[], readonly configurationVersion: number }
   | { readonly type: 'started', readonly jobIds: readonly string[] }
+  /** Announces start orders, which are sent once the receiver has confirmed it. The jobs need not be the receiver's. */
+  | { readonly type: 'start-announcement', readonly sequence: number, readonly settledSequence: number, readonly starts: readonly AnnouncedStart[] }
+  /** An announced order was not answered. */
+  | { readonly type: 'order-unanswered', readonly task: string, readonly attempt: number }
+  /** An order of a lost dispatcher that the receiver has reported was carried out, so that it is not outstanding any more. */
+  | { readonly type: 'order-settled', readonly task: string, readonly attempt: number }
   | { readonly type: 'progress', readonly jobId: string, readonly done: readonly number[], readonly submissionId?: number }
   /** All targets that are known to have been lost under the job's tasks. Owners of earlier versions ignore it. */
   | { readonly type: 'losses', readonly jobId: string, readonly losses: TaskLosses, readonly submissionId?: number }
--- /dev/null
+++ b/packages/fleet/src/outstanding-orders.ts
@@ -0,0 +1,115 @@
+import { parseTaskName } from './job-types.js'
+import { type TargetInfo } from './target-types.js'
+
+/** A start order that was not answered and that a later incarnation of its target may still carry out. */
+export interface OutstandingOrder {
+  readonly task: string
+  readonly attempt: number
+  /** Id of the target. */
+  readonly target: string
+  /** Address that the order was sent to; undefined for an order of another dispatcher. */
+  readonly address?: string
+  /** Monotonic time in milliseconds from which the order can't be carried out any more. */
+  readonly expiresAt: number
+}
+
+/** How a task may start while orders of it are outstanding: only by the very same order. */
+export interface StartHold {
+  readonly attempt: number
+  /** Id of the target; undefined if the task may not start at all, because several orders are outstanding or theirs can't be sent again. */
+  readonly target: string | undefined
+  /** Address of that target; undefined if it is not known. */
+  readonly address: string | undefined
+  /** Monotonic time in milliseconds at which the hold ends. */
+  readonly expiresAt: number
+}
+
+/** The outstanding orders of one task. */
+interface TaskOrders {
+  readonly orders: readonly OutstandingOrder[]
+  /** How often the order was sent without an answer, at most. */
+  readonly sends: number
+  /** Whether the target refuses the order's attempt. */
+  readonly isBarred: boolean
+}
+
+/** @returns whether a task may start at a target while orders of it are outstanding */
+export function allowsTarget ({ target, address }: StartHold, info: TargetInfo): boolean {
+  return info.id === target && (address === undefined || info.address === address)
+}
+
+/**
+ * The start orders that one dispatcher knows to be outstanding, its own and those of lost dispatchers. A stop that the target
+ * has accepted, or a higher token that it has seen, bars such an order only until the target restarts. Until the order is too old,
+ * the task may therefore start only by the same order, at the same target and for the same attempt: a restart of the target ends the run
+ * before the late order can be carried out, and an order that arrives beside the run has no effect.
+ */
+export class OutstandingOrders {
+  readonly #byTask = new Map<string, TaskOrders>()
+
+  /** Number of tasks with outstanding orders. */
+  get size (): number { return this.#byTask.size }
+
+  /**
+   * Records an order.
+   *
+   * @param sends - how often it was sent without an answer, at most, beside what was recorded before
+   */
+  record (order: OutstandingOrder, sends: number): void {
+    const known = this.#byTask.get(order.task)
+    const isSame = ({ attempt, target }: OutstandingOrder): boolean => attempt === order.attempt && target === order.target
+    const earlier = known?.orders.find(isSame)
+    const address = order.address ?? earlier?.address
+    const newest = { ...order, ...(address === undefined ? {} : { address }), expiresAt: Math.max(order.expiresAt, earlier?.expiresAt ?? 0) }
+    this.#byTask.set(order.task, {
+      orders: [...known?.orders.filter(other => !isSame(other)) ?? [], newest],
+      sends: (known?.sends ?? 0) + sends,
+      isBarred: known?.isBarred ?? false
+    })
+  }
+
+  /**
+   * Notes that an order was carried out. It is carried out once each time that it was sent.
+   *
+   * @returns whether no order of the task is outstanding any more, but was before
+   */
+  settle (task: string, attempt: number): boolean {
+    const known = this.#byTask.get(task)
+    return known?.sends === 1 && known.orders[0]?.attempt === attempt && this.#byTask.delete(task)
+  }
+
+  /** Notes that the target refuses the attempt of a task's order, as a run of it has ended there or was stopped. */
+  bar (task: string): void {
+    const known = this.#byTask.get(task)
+    if (known !== undefined) this.#byTask.set(task, { ...known, isBarred: true })
+  }
+
+  /** @returns how the task may start; undefined if no order of it is outstanding */
+  findHold (task: string, now: number): StartHold | undefined {
+    const known = this.#byTask.get(task)
+    const orders = known?.orders.filter(({ expiresAt }) => expiresAt > now) ?? []
+    const [first, ...others] = orders
+    if (known === undefined || first === undefined) return undefined
+    const { attempt, target, address } = first
+    const expiresAt = Math.max(...orders.map(order => order.expiresAt))
+    if (known.isBarred || others.length > 0) return { attempt, target: undefined, address: undefined, expiresAt }
+    return { attempt, target, address, expiresAt }
+  }
+
+  /** @returns the names of the tasks with outstanding orders */
+  listTasks (): readonly string[] {
+    return [...this.#byTask.keys()]
+  }
+
+  /** @returns ids of the jobs of these tasks */
+  listJobs (): readonly string[] {
+    return [...new Set(this.listTasks().map(task => parseTaskName(task)?.jobId).filter(jobId => jobId !== undefined))]
+  }
+
+  /** Removes the orders that can't be carried out any more. */
+  expire (now: number): void {
+    for (const [task, { orders }] of this.#byTask) {
+      if (orders.every(({ expiresAt }) => expiresAt <= now)) this.#byTask.delete(task)
+    }
+  }
+}
--- a/packages/fleet/src/owner-registry.ts
+++ b/packages/fleet/src/owner-registry.ts
@@ -11,6 +11,8 @@
   abstract readonly sequence: number
   /** Whether the connection is being closed because no message arrived on it; the owner may be paused or cut off. */
   isSilent = false
+  /** Whether the owner runs in another process and confirms announcements of starts. */
+  readonly isWitness: boolean = false
   abstract send (message: DispatcherMessage): void
 }
 
@@ -116,6 +118,27 @@
     return (this.#owners.get(ownerId)?.connections.length ?? 0) > 0
   }
 
+  /** @returns whether a connection has not been closed */
+  isOpen (connection: OwnerConnection): boolean {
+    return this.#welcomedAt.has(connection)
+  }
+
+  /**
+   * Chooses who is told of the starts of a job before they are ordered: its owner, or the owner that was heard of last if the
+   * job's own runs in this process, is not connected or is of an earlier version.
+   *
+   * @param connection - the connection over which the job was submitted last
+   * @returns undefined if no connected owner can be a witness
+   */
+  pickWitness (connection: OwnerConnection): OwnerConnection | undefined {
+    if (connection.isWitness && this.isOpen(connection)) return connection
+    let latest: OwnerConnection | undefined
+    for (const other of this.#answered) {
+      if (other.isWitness && !other.isSilent && (latest === undefined || this.getConfirmedAt(other) > this.getConfirmedAt(latest))) latest = other
+    }
+    return latest
+  }
+
   /** @returns for each connected owner the time at which it is certain to have lived; `-Infinity` if there is none */
   listConnected (): ReadonlyMap<string, number> {
     const connected = [...this.#owners].filter(([, { connections }]) => connections.length > 0)
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -35,6 +35,7 @@
 class StreamConnection extends OwnerConnection {
   override readonly ownerId: string
   override readonly sequence: number
+  override readonly isWitness: boolean
   readonly instance: string
   readonly #stream: PeerStream
   lastMessageAt: number
@@ -43,10 +44,12 @@
   /** Whether the list of lingering jobs was sent on the connection. */
   hasList = false
 
-  constructor (hello: HelloMessage, stream: PeerStream, now: number) {
+  /** @param isLocal - whether the owner runs in this process */
+  constructor (hello: HelloMessage, stream: PeerStream, now: number, isLocal: boolean) {
     super()
     this.ownerId = hello.incarnation
     this.sequence = hello.sequence ?? 0
+    this.isWitness = hello.confirmsStarts === true && !isLocal
     this.instance = hello.instance
     this.#stream = stream
     this.lastMessageAt = now
@@ -147,7 +150,7 @@
     const stream: PeerStream = connect({
       onMessage: message => {
         const received = message as OwnerMessage
-        if (received.type === 'hello') connection = this.#acceptHello(received, stream)
+        if (received.type === 'hello') connection = this.#acceptHello(received, stream, false)
         else if (connection !== undefined) this.#handleMessage(connection, received)
       },
       onClose: () => { if (connection !== undefined) this.#removeConnection(connection) }
@@ -172,7 +175,7 @@
     return {
       send: message => {
         const received = message as OwnerMessage
-        if (received.type === 'hello') connection = this.#acceptHello(received, replyStream)
+        if (received.type === 'hello') connection = this.#acceptHello(received, replyStream, true)
         else if (connection !== undefined && !isClosed) this.#handleMessage(connection, received)
       },
       close: reason => { replyStream.close(reason) }
@@ -184,14 +187,14 @@
     for (const connection of [...this.#connections.keys()]) connection.close('the instance stops')
   }
 
-  #acceptHello (hello: HelloMessage, stream: PeerStream): StreamConnection | undefined {
+  #acceptHello (hello: HelloMessage, stream: PeerStream, isLocal: boolean): StreamConnection | undefined {
     this.#drains?.receive(hello, hello.instance)
     const dispatcher = this.#dispatchers.get(hello.domain)
     if (dispatcher === undefined) {
       stream.send({ type: 'not-dispatching', incarnation: this.#incarnation } satisfies DispatcherMessage)
       return undefined
     }
-    const connection = new StreamConnection(hello, stream, this.#clock.now())
+    const connection = new StreamConnection(hello, stream, this.#clock.now(), isLocal)
     this.#connections.set(connection, hello.domain)
     connection.hasList = hello.expectsList === true
     dispatcher.addOwner(connection, connection.hasList ? this.#heartbeats.get(hello.domain)?.listForWelcome() : undefined)
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -8,6 +8,8 @@
 export class PrometheusMetrics extends FleetMetrics {
   readonly registry = new Registry()
   readonly #starts = this.#createCounter('starts_total', 'Start orders by the target\'s answer', ['answer'])
+  readonly #announcementSeconds = this.#createHistogram('announcement_seconds', 'Time from the announcement of start orders to its confirmation, or until it was given up', ['outcome'])
+  readonly #outstandingOrders = this.#createCounter('outstanding_orders_total', 'Start orders that a later incarnation of their target may carry out: unanswered ones, those reported by witnesses, tasks held and jobs given up for them', ['event'])
   readonly #ends = this.#createCounter('run_ends_total', 'Ends of runs by kind', ['how'])
   readonly #takeovers = this.#createCounter('takeovers_total', 'Times that this instance has become a dispatcher, by cause', ['how'])
   readonly #answers = this.#createCounter('answers_total', 'Answers to callers by outcome and reason', ['outcome', 'reason'])
@@ -33,6 +35,14 @@
     this.#startSeconds.observe({ answer }, durationMs / 1_000)
   }
 
+  override observeAnnouncement (outcome: 'confirmed' | 'given-up', durationMs: number): void {
+    this.#announcementSeconds.observe({ outcome }, durationMs / 1_000)
+  }
+
+  override countOutstandingOrders (event: string, count: number): void {
+    this.#outstandingOrders.inc({ event }, count)
+  }
+
   override countRunEnd (kind: string): void {
     this.#ends.inc({ how: kind })
   }
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -4,6 +4,7 @@
 import { type LossReason, type Run } from './run.js'
 import { LossTracker } from './loss-tracker.js'
 import { SessionObserver, type TargetChange } from './session-observer.js'
+import { type StartAnnouncements } from './start-announcements.js'
 import { maxBusyWaitMs, type TargetSession } from './target-session.js'
 import { type LossEvidence } from './target-losses.js'
 import { type EndKind, type StartRejection } from './target-types.js'
@@ -17,6 +18,12 @@
  */
 const stallFraction = 0.3
 
+/**
+ * Factor of that time for a run beside which an order for its task is outstanding: the task can't start elsewhere, nor again at its
+ * target once the run was stopped.
+ */
+const heldStallFactor = 4
+
 /**
  * Age in milliseconds from which a view is stale, if the target has a run that was accepted at least as long ago. Only
  * a poll that began while the target was idle waits longer than this.
@@ -38,6 +45,8 @@
   readonly onChange: () => void
   /** A target refused a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: (session: TargetSession) => void
+  /** An outstanding order was carried out. */
+  readonly onOrderSettled: (task: string, attempt: number) => void
 }
 
 /** Tracks the runs of one dispatcher until they end, and updates the health of targets by their results. */
@@ -46,18 +55,52 @@
   readonly #events: TrackerEvents
   readonly #lateOrderMs: number
   readonly #lossTracker: LossTracker
+  readonly #announcements: StartAnnouncements
   /** Sessions whose leases are about to end or are not extended. */
   readonly #withheld = new WeakSet<TargetSession>()
 
-  /** @param lateOrderMs - time in milliseconds after which an unanswered order can no longer be carried out */
-  constructor (state: DispatchState, lateOrderMs: number, events: TrackerEvents) {
+  /**
+   * @param lateOrderMs - time in milliseconds after which an unanswered order can no longer be carried out
+   * @param announcements - receives what becomes of the announced orders
+   */
+  constructor (state: DispatchState, lateOrderMs: number, announcements: StartAnnouncements, events: TrackerEvents) {
     super()
     this.#state = state
     this.#lateOrderMs = lateOrderMs
     this.#events = events
+    this.#announcements = announcements
     this.#lossTracker = new LossTracker(state)
   }
 
+  override onOrderSettled (run: Run): void {
+    this.#announcements.settle(run)
+  }
+
+  override onOrderUnanswered (session: TargetSession, run: Run): void {
+    const { id, address } = session.info
+    this.#state.outstanding.record({ task: run.task, attempt: run.attempt, target: id, address, expiresAt: run.sentAt + this.#lateOrderMs }, 1)
+    this.#announcements.reportUnanswered(run)
+    this.#state.log('order', 'order-unanswered', { task: run.task, attempt: run.attempt, target: id, sentMsAgo: Math.round(this.#state.now() - run.sentAt), outstanding: this.#state.outstanding.size })
+    this.#state.metrics.countOutstandingOrders('unanswered', 1)
+  }
+
+  override repeatOrder (session: TargetSession, run: Run): boolean {
+    const { job, task } = this.#state.findTaskOfRun(run)
+    if (job === undefined || task === undefined || this.#state.runs.get(run.task)?.run !== run) return false
+    this.#announcements.plan({ job, session, run })
+    this.#events.onChange()
+    return true
+  }
+
+  override isWanted (name: string): boolean {
+    const { task } = this.#state.findTask(name)
+    return task !== undefined && task.state !== 'done'
+  }
+
+  override onOrderCarriedOut (task: string, attempt: number): void {
+    if (this.#state.outstanding.settle(task, attempt)) this.#events.onOrderSettled(task, attempt)
+  }
+
   override onStartAccepted (session: TargetSession, run: Run, tookMs: number): void {
     this.#state.metrics.observeStartOrder('accepted', tookMs)
   }
@@ -67,6 +110,8 @@
     this.#state.metrics.observeStartOrder(reason, now - run.sentAt)
     this.#state.log('order', 'start-rejected', { task: run.task, attempt: run.attempt, target: session.info.id, reason })
     if (reason === 'unhealthy' || reason === 'not-sent') session.health.suspend(now)
+    // A run of this attempt has ended there or was stopped, so that the order can't be sent again.
+    if (reason === 'old') this.#state.outstanding.bar(run.task)
     this.#state.requeueTask(run)
     this.#events.onChange()
   }
@@ -102,6 +147,8 @@
 
   override onRunDiscovered (session: TargetSession, run: Run): void {
     const { job, task } = this.#state.findTaskOfRun(run)
+    const planned = this.#state.runs.get(run.task)
+    planned?.session.dropPlannedRun(planned.run)
     const known = this.#state.runs.get(run.task)
     if (known !== undefined || task?.state === 'done') {
       this.#state.metrics.countSecondRun()
@@ -215,7 +262,8 @@
       if (job === undefined || task === undefined) continue
       const { estimateMs } = job.getStep(task)
       const standingMs = now - run.progressAt
-      if (standingMs > Math.max(minStallMs, estimateMs * stallFraction)) {
+      const stallMs = Math.max(minStallMs, estimateMs * stallFraction) * (this.#state.findHold(task) === undefined ? 1 : heldStallFactor)
+      if (standingMs > stallMs) {
         session.health.suspend(now)
         this.#state.log('order', 'run-stalled', { task: run.task, attempt: run.attempt, target: session.info.id, percent: run.percent, standingMs: Math.round(standingMs) })
         session.stopRun(run)
--- a/packages/fleet/src/run.ts
+++ b/packages/fleet/src/run.ts
@@ -1,8 +1,11 @@
 import { type Demand } from '@sesamereel/state'
 import { type TaskName } from './job-types.js'
 
-/** `starting`: the start order was sent; `running`: the target has the run; `stopping`: a stop order was sent. */
-export type RunState = 'starting' | 'running' | 'stopping'
+/**
+ * `planned`: capacity is reserved, and the start order was not sent yet; `starting`: it was sent; `running`: the target has the
+ * run; `stopping`: a stop order was sent.
+ */
+export type RunState = 'planned' | 'starting' | 'running' | 'stopping'
 
 /**
  * One run of a task at one target, owned by the session of the target. Times are local and
@@ -16,18 +19,18 @@
   /** Capacity that the run occupies; undefined for a run of an earlier dispatcher until it is adopted. */
   demand: Demand | undefined
   state: RunState
-  /** Time at which the start order was sent, or at which a discovered run was first seen. */
-  readonly sentAt: number
+  /** Time at which the start order was sent, at which a planned run was planned, or at which a discovered run was first seen. */
+  sentAt: number
   /** Time at which the target first confirmed that it has the run. */
   acceptedAt: number | undefined
   /** Time at which the target accepted a stop order. */
   stopAcceptedAt: number | undefined
   /**
-   * Time in milliseconds on the target's clock after which it refuses the start order; infinite
+   * Time in milliseconds on the target's clock after which it refuses the start order; infinite before the order is sent, and
    * once a later incarnation of the target may have received the order.
    */
   startDeadlineMs: number
-  /** Whether the start order was not answered, so that a stop order was sent. */
+  /** Whether the start order was not answered, and the target has not listed the run either. */
   unanswered: boolean
   /** Whether the target is unreachable and a new incarnation of it might still carry out the start order. */
   unconfirmed: boolean
--- a/packages/fleet/src/session-contexts.ts
+++ b/packages/fleet/src/session-contexts.ts
@@ -13,6 +13,8 @@
   readonly pollPacer: PollPacer
   /** Returns the milliseconds since the list of targets was last known to be current. */
   readonly measureListAgeMs: () => number
+  /** Returns whether an incarnation of the target that starts now may carry out an order of this or an earlier dispatcher. */
+  readonly mayCarryOut: (now: number) => boolean
 }
 
 /**
@@ -23,7 +25,8 @@
  * @returns the context
  */
 export function createSessionContext (readToken: () => number, lateOrderMs: number): SessionContext {
-  return { unansweredOrders: new UnansweredOrders(lateOrderMs), tokens: new IncarnationTokens(readToken), pollPacer: new PollPacer(), measureListAgeMs: () => 0 }
+  const unansweredOrders = new UnansweredOrders(lateOrderMs)
+  return { unansweredOrders, tokens: new IncarnationTokens(readToken), pollPacer: new PollPacer(), measureListAgeMs: () => 0, mayCarryOut: now => unansweredOrders.list(now).length > 0 }
 }
 
 /** The contexts of one dispatcher's sessions, by the ids of the targets. */
@@ -35,6 +38,8 @@
   readonly #pollPacer = new PollPacer()
   /** The least recently used first. */
   readonly #contexts = new Map<string, SessionContext>()
+  /** Monotonic times in milliseconds until which targets may carry out orders of earlier dispatchers, by the ids of the targets. */
+  readonly #earlierOrdersUntil = new Map<string, number>()
   /** The highest token that was sent to a target whose context was evicted. */
   #evictedToken = 0
 
@@ -53,16 +58,28 @@
 
   /** @returns the context of the sessions with a target */
   find (targetId: string): SessionContext {
-    const context = this.#contexts.get(targetId) ?? this.#createContext()
+    const context = this.#contexts.get(targetId) ?? this.#createContext(targetId)
     this.#contexts.delete(targetId)
     this.#contexts.set(targetId, context)
     this.#evict()
     return context
   }
 
-  #createContext (): SessionContext {
+  /** Records that a target may carry out orders of earlier dispatchers until the given monotonic time in milliseconds. */
+  awaitIncarnations (targetId: string, until: number): void {
+    this.#earlierOrdersUntil.set(targetId, Math.max(until, this.#earlierOrdersUntil.get(targetId) ?? until))
+  }
+
+  /** Forgets the orders of earlier dispatchers that can't be carried out any more. */
+  expire (now: number): void {
+    for (const [targetId, until] of this.#earlierOrdersUntil) if (until <= now) this.#earlierOrdersUntil.delete(targetId)
+  }
+
+  #createContext (targetId: string): SessionContext {
+    const unansweredOrders = new UnansweredOrders(this.#lateOrderMs)
     const tokens = new IncarnationTokens(this.#readToken, this.#requestToken, this.#evictedToken)
-    return { unansweredOrders: new UnansweredOrders(this.#lateOrderMs), tokens, pollPacer: this.#pollPacer, measureListAgeMs: this.#measureListAgeMs }
+    const mayCarryOut = (now: number): boolean => now < (this.#earlierOrdersUntil.get(targetId) ?? 0) || unansweredOrders.list(now).length > 0
+    return { unansweredOrders, tokens, pollPacer: this.#pollPacer, measureListAgeMs: this.#measureListAgeMs, mayCarryOut }
   }
 
   #evict (): void {
--- a/packages/fleet/src/session-observer.ts
+++ b/packages/fleet/src/session-observer.ts
@@ -19,6 +19,20 @@
 export abstract class SessionObserver {
   /** @param tookMs - response time of the start order, in milliseconds */
   abstract onStartAccepted (session: TargetSession, run: Run, tookMs: number): void
+  /** A start order was answered, or will not be sent. Called before the results. */
+  onOrderSettled (run: Run): void {}
+  /** A start order was not answered in time, or its target has restarted before the answer; it may still be carried out. */
+  onOrderUnanswered (session: TargetSession, run: Run): void {}
+  /**
+   * Decides whether an order that was not answered is to be sent again, and if so arranges it.
+   *
+   * @returns false if the run is to be stopped instead
+   */
+  repeatOrder (session: TargetSession, run: Run): boolean { return false }
+  /** @returns whether a task is still to be run, and has no run that is known */
+  isWanted (task: string): boolean { return false }
+  /** The target lists a run, or its end, whose start order this session has not sent or that was not answered. */
+  onOrderCarriedOut (task: string, attempt: number): void {}
   /** The start order was rejected or not sent; the session has removed the run. */
   abstract onStartRejected (session: TargetSession, run: Run, reason: StartRejection | 'not-sent'): void
   /** The target listed the end of a run; the session has removed the run. */
--- a/packages/fleet/src/session-runs.ts
+++ b/packages/fleet/src/session-runs.ts
@@ -58,8 +58,15 @@
 
   /** Records that the start order of a run was not answered. */
   markUnanswered (run: Run): void {
+    if (!run.unanswered) this.#unansweredCount++
     run.unanswered = true
-    this.#unansweredCount++
+  }
+
+  /** Records that the target has a run. */
+  markAccepted (run: Run, now: number): void {
+    run.acceptedAt ??= now
+    if (run.unanswered) this.#unansweredCount--
+    run.unanswered = false
   }
 
   /** @returns the given capacity less what the runs reserve */
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -179,9 +179,12 @@
     this.#connection.close()
   }
 
+  /** Whether the current incarnation is known, and answers polls. */
+  get isReachable (): boolean { return this.#seen && !this.#silent && !this.#closed }
+
   /** Decides whether new runs may start here, regardless of the capacity that they need. */
   isUsable (now: number): boolean {
-    return this.#seen && !this.#silent && !this.#closed && !this.info.draining &&
+    return this.isReachable && !this.info.draining &&
       (!this.awaitsEntry || this.#isEntryUnavailable(now)) &&
       this.#runs.areCertain && !this.#orderBlocker.isPending && this.health.isStartAllowed(now, this.runs.size)
   }
@@ -193,17 +196,58 @@
    *   that the order is refused if the process was paused since
    */
   startRun (task: string, attempt: number, payload: string, demand: Demand, now = this.#clock.now()): Run {
-    const startDeadlineMs = (this.#targetClock.estimateLowerBound(now) ?? 0) + startWindowMs
-    const run: Run = { task, name: parseTaskName(task), attempt, demand, state: 'starting', sentAt: now, acceptedAt: undefined, stopAcceptedAt: undefined, startDeadlineMs, unanswered: false, unconfirmed: false, percent: 0, progressAt: now, stopSentAt: -Infinity }
+    const run = this.planRun(task, attempt, demand, now)
+    this.orderRun(run, payload, now)
+    return run
+  }
+
+  /** Reserves capacity for a run whose order is not sent yet. */
+  planRun (task: string, attempt: number, demand: Demand, now: number): Run {
+    const run: Run = { task, name: parseTaskName(task), attempt, demand, state: 'planned', sentAt: now, acceptedAt: undefined, stopAcceptedAt: undefined, startDeadlineMs: Infinity, unanswered: false, unconfirmed: false, percent: 0, progressAt: now, stopSentAt: -Infinity }
     this.#runs.add(run)
-    this.#targetClock.recordLeaseEnd(startDeadlineMs)
-    this.#sendStart(run, payload).catch((error: unknown) => { this.#observer.onError(error) })
     return run
   }
 
+  /**
+   * Sends the order to start a planned run, unless it was given up meanwhile.
+   *
+   * @param now - as for `startRun`
+   */
+  orderRun (run: Run, payload: string, now: number): void {
+    if (this.#closed || !this.isPlanned(run)) return
+    run.state = 'starting'
+    run.sentAt = now
+    run.progressAt = now
+    run.startDeadlineMs = (this.#targetClock.estimateLowerBound(now) ?? 0) + startWindowMs
+    this.#targetClock.recordLeaseEnd(run.startDeadlineMs)
+    this.#sendStart(run, payload).catch((error: unknown) => { this.#observer.onError(error) })
+  }
+
+  /**
+   * Gives up a planned run. A run whose order was sent before without an answer stays until a view shows whether it was carried
+   * out, as the target would refuse the order for good after a stop.
+   */
+  dropPlannedRun (run: Run): void {
+    if (this.isPlanned(run) && !run.unanswered) this.#loseRun(run, 'never-started')
+  }
+
+  /** @returns whether the current incarnation has listed a run that this session did not start, or the end of a run */
+  hasListed (task: string, attempt: number): boolean {
+    return this.#runs.find(task, attempt)?.acceptedAt !== undefined || this.#runs.hasEndedRecently(formatRunKey(task, attempt))
+  }
+
+  /** @returns whether the run is planned and has not been given up */
+  isPlanned (run: Run): boolean {
+    return run.state === 'planned' && this.#runs.has(run)
+  }
+
   /** Sends the order to stop a run. Its capacity stays reserved until its end is listed or the run is lost. */
   stopRun (run: Run): void {
     if (run.state === 'stopping') return
+    if (run.state === 'planned' && !run.unanswered) {
+      this.dropPlannedRun(run)
+      return
+    }
     run.state = 'stopping'
     this.#sendStop(run).catch((error: unknown) => { this.#observer.onError(error) })
   }
@@ -228,18 +272,19 @@
     const now = this.#clock.now()
     if (reply.kind === 'accepted') this.#orderTimeout.record(now - run.sentAt)
     if (reply.kind === 'no-answer') this.#context.unansweredOrders.record(run)
+    if (reply.kind === 'no-answer') this.#observer.onOrderUnanswered(this, run)
+    else this.#observer.onOrderSettled(run)
     if (this.#closed || !this.#runs.has(run)) return
     switch (reply.kind) {
       case 'accepted':
         if (run.state === 'starting') run.state = 'running'
-        run.acceptedAt ??= now
+        this.#runs.markAccepted(run, now)
         run.progressAt = now
         this.#observer.onStartAccepted(this, run, now - run.sentAt)
         return
       case 'no-answer':
-        // The order may still be carried out, until a stop is accepted or its deadline has passed.
         this.#runs.markUnanswered(run)
-        this.stopRun(run)
+        this.#repeatOrStop(run)
         return
       case 'not-sent':
         this.#runs.remove(run)
@@ -253,6 +298,16 @@
     }
   }
 
+  /**
+   * The order may still be carried out, now until its deadline has passed, and in later incarnations. The same order is sent again:
+   * carried out twice, it has no further effect, while one for another attempt could start a second run.
+   */
+  #repeatOrStop (run: Run): void {
+    if (run.state !== 'starting') return
+    run.state = 'planned'
+    if (!this.#observer.repeatOrder(this, run)) this.stopRun(run)
+  }
+
   async #sendStop (run: Run): Promise<void> {
     run.stopSentAt = this.#clock.now()
     const token = this.#context.tokens.take(false)
@@ -370,6 +425,7 @@
       this.#runs.rememberEnd(key)
       const run = this.runs.get(key)
       if (run === undefined) {
+        this.#observer.onOrderCarriedOut(end.task, end.attempt)
         this.#observer.onUnknownRunEnded(this, end.task, end.how)
         continue
       }
@@ -387,8 +443,9 @@
         this.#addDiscoveredRun(entry.task, entry.attempt, entry.percent, now)
         continue
       }
-      if (run.state === 'starting') run.state = 'running'
-      run.acceptedAt ??= now
+      if (run.state === 'starting' || run.state === 'planned') run.state = 'running'
+      if (run.acceptedAt === undefined && run.unanswered) this.#observer.onOrderCarriedOut(run.task, run.attempt)
+      this.#runs.markAccepted(run, now)
       if (entry.percent > run.percent) {
         run.percent = entry.percent
         run.progressAt = now
@@ -399,6 +456,7 @@
   #addDiscoveredRun (task: string, attempt: number, percent: number, now: number): void {
     const run: Run = { task, name: parseTaskName(task), attempt, demand: undefined, state: 'running', sentAt: now, acceptedAt: now, stopAcceptedAt: undefined, startDeadlineMs: 0, unanswered: false, unconfirmed: false, percent, progressAt: now, stopSentAt: -Infinity }
     this.#runs.add(run)
+    this.#observer.onOrderCarriedOut(task, attempt)
     this.#observer.onRunDiscovered(this, run)
   }
 
@@ -434,7 +492,7 @@
    * unanswered order, the target is polled often, and once its process has ended with a token that the next one is to have.
    */
   #choosePause (usualMs: number, hasFailedFast: boolean): number {
-    const isNeeded = this.#silent && this.#context.unansweredOrders.list(this.#clock.now()).length > 0
+    const isNeeded = (this.#silent || !this.#hasView) && this.#context.mayCarryOut(this.#clock.now())
     // A cut of the network is short at times, and a token must not be used for each.
     if (isNeeded && hasFailedFast) this.#context.tokens.prepareIncarnation()
     if (isNeeded && !this.#isAwaited) this.#observer.onTargetChanged(this, 'awaited')
@@ -458,7 +516,9 @@
    */
   #endEarlierIncarnation (): void {
     for (const run of [...this.runs.values()]) {
-      if (run.acceptedAt !== undefined && run.acceptedAt <= this.#lastViewAt) this.#loseRun(run, 'restarted')
+      if (run.state === 'planned' && !run.unanswered) this.#loseRun(run, 'never-started')
+      else if (run.acceptedAt === undefined && run.state !== 'stopping' && this.#observer.isWanted(run.task)) this.#loseUnanswered(run)
+      else if (run.acceptedAt !== undefined && run.acceptedAt <= this.#lastViewAt) this.#loseRun(run, 'restarted')
       else this.#stopInNewIncarnation(run)
     }
     this.#blockUnansweredOrders(this.#clock.now())
@@ -466,7 +526,8 @@
 
   /** Blocks the unanswered orders that belong to no run of this session. */
   #blockUnansweredOrders (now: number): void {
-    const orders = this.#context.unansweredOrders.list(now).filter(order => !this.runs.has(formatRunKey(order.task, order.attempt)))
+    const orders = this.#context.unansweredOrders.list(now)
+      .filter(order => !this.runs.has(formatRunKey(order.task, order.attempt)) && !this.#observer.isWanted(order.task))
     for (const order of orders) this.#blockOrder(order).catch((error: unknown) => { this.#observer.onError(error) })
   }
 
@@ -497,7 +558,9 @@
    */
   #loseExpiredRuns (now: number): void {
     for (const run of [...this.runs.values()]) {
-      if (run.acceptedAt !== undefined || now - run.sentAt > this.#limits.lateOrderMs) {
+      if (run.state === 'planned' && !run.unanswered) {
+        this.#loseRun(run, 'never-started')
+      } else if (run.acceptedAt !== undefined || now - run.sentAt > this.#limits.lateOrderMs) {
         this.#loseRun(run, 'lapsed')
       } else if (!run.unconfirmed) {
         run.unconfirmed = true
@@ -506,11 +569,18 @@
     }
   }
 
+  /** Returns a run to its dispatcher whose order may be carried out by the new incarnation, where it may be sent again. */
+  #loseUnanswered (run: Run): void {
+    this.#observer.onOrderUnanswered(this, run)
+    this.#loseRun(run, 'restarted')
+  }
+
   #loseAllRuns (reason: LossReason): void {
     for (const run of [...this.runs.values()]) this.#loseRun(run, reason)
   }
 
   #loseRun (run: Run, reason: LossReason): void {
+    if (run.state === 'planned') this.#observer.onOrderSettled(run)
     this.#runs.remove(run)
     this.#observer.onRunLost(this, run, reason)
   }
--- a/packages/fleet/src/task-scheduler.ts
+++ b/packages/fleet/src/task-scheduler.ts
@@ -2,7 +2,9 @@
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { type StepSpec } from './job-types.js'
 import { type LocalityPolicy } from './locality-policy.js'
+import { allowsTarget } from './outstanding-orders.js'
 import { type Candidate, isEligible, pickTarget } from './placement.js'
+import { type PlannedStart, type StartAnnouncements } from './start-announcements.js'
 import { SuspectIsolation } from './suspect-isolation.js'
 import { isStartAllowed } from './target-losses.js'
 import { startWindowMs, type TargetSession } from './target-session.js'
@@ -32,18 +34,21 @@
   readonly #remoteFactor: number
   readonly #isolation: SuspectIsolation
   readonly #locality: LocalityPolicy
+  readonly #announcements: StartAnnouncements
 
   /**
    * @param readToken - returns the dispatcher's current token
    * @param remoteFactor - ratio of a task's run time outside the rack of its data to its run time inside
    * @param locality - decides which tasks wait for a place near their data
+   * @param announcements - announces orders before they are sent
    */
-  constructor (state: DispatchState, readToken: () => number, remoteFactor: number, locality: LocalityPolicy) {
+  constructor (state: DispatchState, readToken: () => number, remoteFactor: number, locality: LocalityPolicy, announcements: StartAnnouncements) {
     this.#state = state
     this.#readToken = readToken
     this.#remoteFactor = remoteFactor
     this.#isolation = new SuspectIsolation(state)
     this.#locality = locality
+    this.#announcements = announcements
   }
 
   /**
@@ -76,6 +81,37 @@
     for (const [ownerId, jobIds] of newlyStarted) this.#state.owners.send(ownerId, { type: 'started', jobIds })
   }
 
+  /**
+   * Announces the planned starts, and sends the orders of those whose announcements were confirmed. Starts that are not possible any more return to the queue.
+   *
+   * @param now - monotonic time in milliseconds from which the deadlines of the orders count
+   */
+  orderConfirmed (now: number): void {
+    this.#announcements.sendRound()
+    const confirmed = this.#announcements.takeConfirmed()
+    if (confirmed.length === 0) return
+    const elapsedLeadMs = this.#state.measureElapsedLead()
+    for (const start of confirmed) {
+      if (this.#canOrder(start, now, elapsedLeadMs)) start.session.orderRun(start.run, start.job.spec.payload, now)
+      else this.#drop(start)
+    }
+  }
+
+  /** Returns planned starts whose announcements were confirmed to the queue, as none may be ordered. */
+  dropConfirmed (): void {
+    for (const start of this.#announcements.takeConfirmed()) this.#drop(start)
+  }
+
+  #drop ({ session, run }: PlannedStart): void {
+    session.dropPlannedRun(run)
+    this.#announcements.settle(run)
+  }
+
+  #canOrder ({ job, session, run }: PlannedStart, now: number, elapsedLeadMs: number): boolean {
+    if (!session.isPlanned(run) || !session.isReachable || session.info.draining || this.#state.owners.hasGivenUp(job.connection)) return false
+    return this.#state.computeRunLimit(job, elapsedLeadMs) >= now + startWindowMs && this.#state.computeLeaseLimit(session, elapsedLeadMs) >= now + startWindowMs
+  }
+
   /** @returns the number of tasks that were started */
   #startTasksOf (job: DispatchedJob, round: Round): number {
     if (this.#state.computeRunLimit(job, round.elapsedLeadMs) < round.now + startWindowMs) return 0
@@ -109,11 +145,13 @@
     const step = job.getStep(task)
     const key = formatDemandKey(job.spec.service, step)
     if (fullFor.has(key)) return undefined
+    const hold = this.#state.findHold(task)
     const countRunsOfStep = (candidate: SessionCandidate): number => countStepRuns(candidate.session, job, task.stepIndex)
     const runLimit = this.#state.computeRunLimit(job, elapsedLeadMs)
     // Only a filter that drops a target makes a new list, see below.
     const isAllowed = ({ session }: SessionCandidate): boolean => this.#isolation.canStart(session, job, task)
     let usable = !this.#isolation.isNeeded || candidates.every(isAllowed) ? candidates : candidates.filter(isAllowed)
+    if (hold !== undefined) usable = usable.filter(({ info }) => allowsTarget(hold, info))
     for (;;) {
       const target = pickTarget(usable, job.spec.service, step, countRunsOfStep, this.#remoteFactor)
       if (target === undefined) {
@@ -133,9 +171,11 @@
     task.starts++
     task.state = 'running'
     job.started = true
-    const attempt = this.#readToken() * attemptsPerToken + task.starts
-    const run = session.startRun(task.name, attempt, job.spec.payload, job.getStep(task).demand, now)
+    // An outstanding order is sent again, as one for another attempt could start a second run beside it.
+    const attempt = this.#state.findHold(task)?.attempt ?? this.#readToken() * attemptsPerToken + task.starts
+    const run = session.planRun(task.name, attempt, job.getStep(task).demand, now)
     this.#state.runs.set(task.name, { session, run })
+    this.#announcements.plan({ job, session, run })
     this.#isolation.recordStart(session, job, task)
     const { outdatedListAgeMs } = session
     if (outdatedListAgeMs !== undefined) this.#state.metrics.countOutdatedStart()
--- a/packages/fleet/src/unanswered-orders.ts
+++ b/packages/fleet/src/unanswered-orders.ts
@@ -1,5 +1,3 @@
-import { type Run } from './run.js'
-
 /** Identity of a run and of its start order. */
 export interface RunIdentity {
   readonly task: string
@@ -26,14 +24,14 @@
     this.#lateOrderMs = lateOrderMs
   }
 
-  /** Records the start order of a run as unanswered. */
-  record (run: Run): void {
-    this.#expire(run.sentAt)
+  /** Records a start order as unanswered. */
+  record (order: UnansweredOrder): void {
+    this.#expire(order.sentAt)
     // The attempts of a job that was dropped and submitted again are numbered from the start.
-    const attempt = Math.max(run.attempt, this.#orders.get(run.task)?.attempt ?? 0)
+    const attempt = Math.max(order.attempt, this.#orders.get(order.task)?.attempt ?? 0)
     // Deleting first keeps the map in the order in which the orders were sent.
-    this.#orders.delete(run.task)
-    this.#orders.set(run.task, { task: run.task, attempt, sentAt: run.sentAt })
+    this.#orders.delete(order.task)
+    this.#orders.set(order.task, { task: order.task, attempt, sentAt: order.sentAt })
   }
 
   /** @returns the orders that may still be carried out */
