--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -21,6 +21,7 @@
 import { TargetSession } from './target-session.js'
 import { type TargetConnector, type TargetInfo } from './target-types.js'
 import { TaskScheduler } from './task-scheduler.js'
+import { WitnessChoice } from './witness-choice.js'
 
 /** Time in milliseconds by which a job is listed as lingering before its caller may resubmit it. */
 const resubmitMarginMs = 300
@@ -110,12 +111,12 @@
     this.#intake = new JobIntake(this.#state, this.#drain)
     this.#cancellations = new CancellationIntake(this.#state, options.cancelled ?? new CancelledJobs())
     this.#mailbox = new Mailbox(message => { message() }, () => { this.#onMessagesHandled() })
-    this.#announcements = new StartAnnouncements(this.#state, options.limits.lateOrderMs)
-    this.#heldTasks = new HeldTasks(this.#state, options.limits, this.#sessionContexts)
+    const witnessChoice = new WitnessChoice(this.#state.owners, options.domain, options.clock)
+    this.#announcements = new StartAnnouncements(this.#state, options.limits.lateOrderMs, witnessChoice)
+    this.#heldTasks = new HeldTasks(this.#state, options.limits, this.#sessionContexts, witnessChoice)
     this.#tracker = new RunTracker(this.#state, options.limits.lateOrderMs, this.#announcements, {
       onChange: () => { this.#mailbox.schedule() },
-      onSuperseded: session => { this.#onSuperseded(session) },
-      onOrderSettled: (task, attempt) => { this.#heldTasks.reportSettled(task, attempt) }
+      onSuperseded: session => { this.#onSuperseded(session) }
     })
     this.#scheduler = new TaskScheduler(this.#state, () => this.#token, options.remoteFactor, createLocalityPolicy(this.#state, options.remoteFactor, options.waitsForLocality === true), this.#announcements)
     this.#cancelMaintenance = startPeriodicTimer(options.clock, maintenanceIntervalMs, () => { this.#mailbox.post(() => { this.#runMaintenance() }) })
--- a/packages/fleet/src/held-tasks.ts
+++ b/packages/fleet/src/held-tasks.ts
@@ -5,6 +5,7 @@
 import { allowsTarget, type StartHold } from './outstanding-orders.js'
 import { type OwnerConnection } from './owner-registry.js'
 import { type SessionContexts } from './session-contexts.js'
+import { type WitnessChoice } from './witness-choice.js'
 
 /**
  * Tasks that may start only at one target, because an order of them may still be carried out there after a restart. Learns of the
@@ -14,15 +15,15 @@
   readonly #state: DispatchState
   readonly #limits: FleetLimits
   readonly #contexts: SessionContexts
+  readonly #choice: WitnessChoice
   /** Held tasks that were logged. */
   readonly #logged = new WeakSet<TaskRecord>()
-  /** Connections of the witnesses that have reported orders, by task. */
-  readonly #reporters = new Map<string, OwnerConnection>()
 
-  constructor (state: DispatchState, limits: FleetLimits, contexts: SessionContexts) {
+  constructor (state: DispatchState, limits: FleetLimits, contexts: SessionContexts, choice: WitnessChoice) {
     this.#state = state
     this.#limits = limits
     this.#contexts = contexts
+    this.#choice = choice
   }
 
   /** Records the orders of lost dispatchers that a witness reports. */
@@ -33,29 +34,20 @@
         connection.send({ type: 'order-settled', task, attempt })
         continue
       }
-      this.#reporters.set(task, connection)
-      this.#state.outstanding.record({ task, attempt, target, expiresAt: now + remainingMs }, isUnanswered ? Infinity : 1)
+      this.#state.outstanding.record({ task, attempt, target, expiresAt: now + remainingMs }, isUnanswered ? Infinity : 1, [connection])
       this.#contexts.awaitIncarnations(target, now + remainingMs)
     }
     this.#state.metrics.countOutstandingOrders('reported', orders.length)
     this.#state.log('belief', 'earlier-orders-known', { owner: connection.ownerId, orders: orders.length, targets: new Set(orders.map(({ target }) => target)).size, longestMs: Math.round(Math.max(...orders.map(({ remainingMs }) => remainingMs))) })
   }
 
-  /** Tells the witness that has reported an order that it was carried out. */
-  reportSettled (task: string, attempt: number): void {
-    this.#reporters.get(task)?.send({ type: 'order-settled', task, attempt })
-    this.#reporters.delete(task)
-  }
-
   /**
    * Ends the jobs with a waiting task whose only target is out of reach, if their answers are of no use by the end of the hold.
    */
   check (now: number): void {
     const { outstanding } = this.#state
-    if (outstanding.size === 0) {
-      this.#reporters.clear()
-      return
-    }
+    if (outstanding.size === 0) return
+    this.#replaceWitnesses(now)
     for (const name of outstanding.listTasks()) {
       const { job, task } = this.#state.findTask(name)
       const hold = outstanding.findHold(name, now)
@@ -68,6 +60,18 @@
     }
   }
 
+  /** Tells another owner of the orders whose witnesses are not connected any more, so that they outlive this dispatcher. */
+  #replaceWitnesses (now: number): void {
+    const { outstanding, owners } = this.#state
+    const unwitnessed = outstanding.listUnwitnessed(connection => owners.isOpen(connection))
+    if (unwitnessed.length === 0) return
+    const witness = this.#choice.choose(() => true)
+    if (witness === undefined) return
+    const orders = unwitnessed.map(({ order: { task, attempt, target, expiresAt }, isRepeated }): EarlierOrder => ({ task, attempt, target, isUnanswered: isRepeated, remainingMs: expiresAt - now })).filter(({ remainingMs }) => remainingMs > 0)
+    witness.send({ type: 'outstanding-orders', orders })
+    for (const { task } of orders) outstanding.replaceWitnesses(task, witness)
+  }
+
   /** @returns whether a target that the hold allows may start tasks, or has answered polls until a moment ago */
   #isReachable (hold: StartHold, now: number): boolean {
     const lossMs = this.#limits.maxLeaseMs / slowestClockRate
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -154,7 +154,7 @@
   }
 
   override onDisconnected (connection: DispatcherConnection): void {
-    this.#witness.keepAll(connection.domain)
+    this.#reportLostDispatcher(connection.domain)
     let count = 0
     for (const job of this.#jobs.values()) {
       if (job.location.kind === 'none' || job.location.domain !== connection.domain) continue
@@ -175,6 +175,7 @@
     switch (message.type) {
       case 'started': this.#handleStarted(connection, message.jobIds); break
       case 'start-announcement': this.#handleAnnouncement(connection, message); break
+      case 'outstanding-orders': this.#witness.keep(connection.domain, connection.token, message.orders, this.#options.clock.now()); break
       case 'order-settled': this.#witness.forget(message.task, message.attempt); break
       case 'order-unanswered': this.#witness.keepUnanswered(connection.domain, message.task, message.attempt); break
       case 'progress': this.#handleProgress(connection, message); break
@@ -211,6 +212,13 @@
     connection.send({ type: 'earlier-orders', orders })
   }
 
+  /** Tells the dispatchers of the other domains of a lost one's orders, as the jobs may be submitted to them. */
+  #reportLostDispatcher (domain: string): void {
+    this.#witness.keepAll(domain)
+    const orders = this.#witness.listOfDomain(domain, undefined, this.#options.clock.now())
+    for (const other of this.#listConnected()) if (other.domain !== domain) this.#reportOrders(other, orders)
+  }
+
   #handleProgress (connection: DispatcherConnection, { jobId, submissionId, done }: Reply<'progress'>): void {
     const job = this.#findJobAt(jobId, connection, submissionId)
     for (const position of done) job?.done.add(position)
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -60,9 +60,10 @@
 export type OwnerMessage =
   /**
    * `sequence` rises with each connection that the owner opens to the domain; `expectsList` asks for the list of
-   * lingering jobs in the welcome; `confirmsStarts` says that the owner confirms announcements of starts. Earlier versions omit them.
+   * lingering jobs in the welcome; `confirmsStarts` says that the owner confirms announcements of starts,
+   * `homeDomain` names the failure domain of its instance. Earlier versions omit them.
    */
-  | ({ readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number, readonly expectsList?: boolean, readonly confirmsStarts?: boolean } & DrainCarrier)
+  | ({ readonly type: 'hello', readonly instance: string, readonly incarnation: string, readonly domain: string, readonly sequence?: number, readonly expectsList?: boolean, readonly confirmsStarts?: boolean, readonly homeDomain?: string } & DrainCarrier)
   /**
    * Answers a heartbeat, or the welcome; `heardSentAt` is its `sentAt`. `cancelled`, in the answer to a welcome, holds the
    * cancelled jobs that the welcome did not list.
@@ -124,6 +125,8 @@
   | { readonly type: 'started', readonly jobIds: readonly string[] }
   /** Announces start orders, which are sent once the receiver has confirmed it. The jobs need not be the receiver's. */
   | { readonly type: 'start-announcement', readonly sequence: number, readonly settledSequence: number, readonly starts: readonly AnnouncedStart[] }
+  /** Outstanding orders that the receiver is to keep as a witness, as those that knew of them are not connected any more. */
+  | { readonly type: 'outstanding-orders', readonly orders: readonly EarlierOrder[] }
   /** An announced order was not answered. */
   | { readonly type: 'order-unanswered', readonly task: string, readonly attempt: number }
   /** An order of a lost dispatcher that the receiver has reported was carried out, so that it is not outstanding any more. */
--- a/packages/fleet/src/order-witness.ts
+++ b/packages/fleet/src/order-witness.ts
@@ -61,6 +61,13 @@
     for (const order of this.#kept) if (order.task === task && order.attempt === attempt) this.#kept.delete(order)
   }
 
+  /** Keeps outstanding orders of a dispatcher whose other witnesses are lost. */
+  keep (domain: string, token: number, orders: readonly EarlierOrder[], now: number): void {
+    for (const { task, attempt, target, isUnanswered, remainingMs } of orders) {
+      this.#kept.add({ task, attempt, target, domain, token, isUnanswered, receivedAt: now + remainingMs - this.#retentionMs })
+    }
+  }
+
   /** Forgets the announcements up to a sequence number, as their orders were answered or reported as unanswered. */
   settle (domain: string, sequence: number): void {
     const ofDomain = this.#announced.get(domain)
@@ -78,7 +85,7 @@
   }
 
   /** @returns the orders of a domain that may be outstanding, apart from those of the dispatcher with the given token */
-  listOfDomain (domain: string, token: number, now: number): readonly EarlierOrder[] {
+  listOfDomain (domain: string, token: number | undefined, now: number): readonly EarlierOrder[] {
     return this.#list(order => order.domain === domain && order.token !== token, now)
   }
 
--- a/packages/fleet/src/owner-registry.ts
+++ b/packages/fleet/src/owner-registry.ts
@@ -13,6 +13,8 @@
   isSilent = false
   /** Whether the owner runs in another process and confirms announcements of starts. */
   readonly isWitness: boolean = false
+  /** Failure domain of the owner's instance; undefined for owners of an earlier version. */
+  readonly homeDomain: string | undefined = undefined
   abstract send (message: DispatcherMessage): void
 }
 
@@ -123,20 +125,9 @@
     return this.#welcomedAt.has(connection)
   }
 
-  /**
-   * Chooses who is told of the starts of a job before they are ordered: its owner, or the owner that was heard of last if the
-   * job's own runs in this process, is not connected or is of an earlier version.
-   *
-   * @param connection - the connection over which the job was submitted last
-   * @returns undefined if no connected owner can be a witness
-   */
-  pickWitness (connection: OwnerConnection): OwnerConnection | undefined {
-    if (connection.isWitness && this.isOpen(connection)) return connection
-    let latest: OwnerConnection | undefined
-    for (const other of this.#answered) {
-      if (other.isWitness && !other.isSilent && (latest === undefined || this.getConfirmedAt(other) > this.getConfirmedAt(latest))) latest = other
-    }
-    return latest
+  /** @returns the open connections of owners that can be witnesses and have answered lately */
+  listWitnesses (): readonly OwnerConnection[] {
+    return [...this.#answered].filter(({ isWitness, isSilent }) => isWitness && !isSilent)
   }
 
   /** @returns for each connected owner the time at which it is certain to have lived; `-Infinity` if there is none */
--- a/packages/fleet/src/owner-server.ts
+++ b/packages/fleet/src/owner-server.ts
@@ -36,6 +36,7 @@
   override readonly ownerId: string
   override readonly sequence: number
   override readonly isWitness: boolean
+  override readonly homeDomain: string | undefined
   readonly instance: string
   readonly #stream: PeerStream
   lastMessageAt: number
@@ -49,6 +50,7 @@
     super()
     this.ownerId = hello.incarnation
     this.sequence = hello.sequence ?? 0
+    this.homeDomain = hello.homeDomain
     this.isWitness = hello.confirmsStarts === true && !isLocal
     this.instance = hello.instance
     this.#stream = stream
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -45,8 +45,6 @@
   readonly onChange: () => void
   /** A target refused a request because this dispatcher is fenced by a higher token. */
   readonly onSuperseded: (session: TargetSession) => void
-  /** An outstanding order was carried out. */
-  readonly onOrderSettled: (task: string, attempt: number) => void
 }
 
 /** Tracks the runs of one dispatcher until they end, and updates the health of targets by their results. */
@@ -78,8 +76,7 @@
 
   override onOrderUnanswered (session: TargetSession, run: Run): void {
     const { id, address } = session.info
-    this.#state.outstanding.record({ task: run.task, attempt: run.attempt, target: id, address, expiresAt: run.sentAt + this.#lateOrderMs }, 1)
-    this.#announcements.reportUnanswered(run)
+    this.#state.outstanding.record({ task: run.task, attempt: run.attempt, target: id, address, expiresAt: run.sentAt + this.#lateOrderMs }, 1, this.#announcements.reportUnanswered(run))
     this.#state.log('order', 'order-unanswered', { task: run.task, attempt: run.attempt, target: id, sentMsAgo: Math.round(this.#state.now() - run.sentAt), outstanding: this.#state.outstanding.size })
     this.#state.metrics.countOutstandingOrders('unanswered', 1)
   }
@@ -98,7 +95,7 @@
   }
 
   override onOrderCarriedOut (task: string, attempt: number): void {
-    if (this.#state.outstanding.settle(task, attempt)) this.#events.onOrderSettled(task, attempt)
+    for (const witness of this.#state.outstanding.settle(task, attempt)) witness.send({ type: 'order-settled', task, attempt })
   }
 
   override onStartAccepted (session: TargetSession, run: Run, tookMs: number): void {
