Keep what an instance does as a witness in a class of its own

OrderReports confirms announcements and reports open orders; JobOwner calls it. Starts that were given up for want of a confirmation are logged once and not at each check.

--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -7,11 +7,11 @@
 import { type EventLog } from './event-log.js'
 import { type FleetMetrics } from './fleet-metrics.js'
 import { JobCancellations } from './job-cancellations.js'
-import { OrderWitness } from './order-witness.js'
 import { createDrainedRejection, createRejection } from './job-rejections.js'
 import { type JobSpec, parseTaskName } from './job-types.js'
 import { type FleetLimits } from './limits.js'
-import { type DispatcherMessage, type EarlierOrder, type LoadSummary } from './messages.js'
+import { type DispatcherMessage, type LoadSummary } from './messages.js'
+import { OrderReports } from './order-reports.js'
 import { type JobAnswer, OwnedJob, type SubmissionRecord } from './owned-job.js'
 import { type CancellationOutcome } from './pending-cancellations.js'
 import { startPeriodicTimer } from './periodic-timer.js'
@@ -58,7 +58,7 @@
   readonly #connections = new Map<string, DispatcherConnection>()
   readonly #jobs = new Map<string, OwnedJob>()
   readonly #cancellations: JobCancellations
-  readonly #witness: OrderWitness
+  readonly #orderReports: OrderReports
   readonly #onHandOver: (domain: string, successor: string) => void
   #lastSubmissionId = 0
   readonly #cancelTick: () => void
@@ -70,7 +70,7 @@
     super()
     this.#options = options
     this.#onHandOver = onHandOver
-    this.#witness = new OrderWitness(options.limits.lateOrderMs)
+    this.#orderReports = new OrderReports(options.limits.lateOrderMs, options.clock, options.log)
     this.#cancellations = new JobCancellations({
       clock: options.clock,
       log: options.log,
@@ -144,8 +144,7 @@
 
   override onConnected (connection: DispatcherConnection): void {
     this.#cancellations.onConnected(connection)
-    const { domain, token } = connection
-    this.#reportOrders(connection, this.#witness.listOfDomain(domain, token, this.#options.clock.now()))
+    this.#orderReports.reportToSuccessor(connection)
     for (const job of [...this.#jobs.values()]) {
       if (job.location.kind === 'submitted' && job.location.domain === connection.domain) this.#submitTo(job, connection, true)
       else if (job.location.kind === 'withdrawing' && job.location.domain === connection.domain) this.#submitTo(job, connection, true)
@@ -154,7 +153,7 @@
   }
 
   override onDisconnected (connection: DispatcherConnection): void {
-    this.#reportLostDispatcher(connection.domain)
+    this.#orderReports.reportLost(connection.domain, this.#listConnected())
     let count = 0
     for (const job of this.#jobs.values()) {
       if (job.location.kind === 'none' || job.location.domain !== connection.domain) continue
@@ -165,7 +164,7 @@
   }
 
   override onLoadChanged (connection: DispatcherConnection): void {
-    this.#witness.settle(connection.domain, connection.settledSequence)
+    this.#orderReports.settle(connection)
     const { load } = connection
     if (load === undefined || load.queuedJobs > 0) return
     this.#moveWaitingJobs(connection, load)
@@ -174,10 +173,13 @@
   override onDispatcherMessage (connection: DispatcherConnection, message: DispatcherMessage): void {
     switch (message.type) {
       case 'started': this.#handleStarted(connection, message.jobIds); break
-      case 'start-announcement': this.#handleAnnouncement(connection, message); break
-      case 'outstanding-orders': this.#witness.keep(connection.domain, connection.token, message.orders, this.#options.clock.now()); break
-      case 'order-settled': this.#witness.forget(message.task, message.attempt); break
-      case 'order-unanswered': this.#witness.keepUnanswered(connection.domain, message.task, message.attempt); break
+      case 'start-announcement':
+        this.#orderReports.confirm(connection, message)
+        this.#handleStarted(connection, message.starts.map(({ task }) => parseTaskName(task)?.jobId ?? ''))
+        break
+      case 'order-unanswered':
+      case 'order-settled':
+      case 'outstanding-orders': this.#orderReports.apply(connection, message); break
       case 'progress': this.#handleProgress(connection, message); break
       case 'losses': this.#handleLosses(connection, message); break
       case 'ended': this.#handleEnded(connection, message); break
@@ -196,29 +198,6 @@
     }
   }
 
-  /** Confirms an announcement once its orders are known here, so that a successor of the dispatcher is told of them. */
-  #handleAnnouncement (connection: DispatcherConnection, { sequence, settledSequence, starts }: Reply<'start-announcement'>): void {
-    this.#witness.settle(connection.domain, settledSequence)
-    this.#witness.record(connection.domain, connection.token, sequence, starts, this.#options.clock.now())
-    connection.send({ type: 'start-confirmation', sequence })
-    this.#handleStarted(connection, starts.map(({ task }) => parseTaskName(task)?.jobId ?? ''))
-  }
-
-  /** Tells a dispatcher of orders that lost dispatchers have sent and that may still be carried out. */
-  #reportOrders (connection: DispatcherConnection, orders: readonly EarlierOrder[]): void {
-    if (orders.length === 0) return
-    const { domain, token } = connection
-    this.#options.log.log('belief', 'earlier-orders-reported', { domain, token, orders: orders.length, targets: new Set(orders.map(({ target }) => target)).size })
-    connection.send({ type: 'earlier-orders', orders })
-  }
-
-  /** Tells the dispatchers of the other domains of a lost one's orders, as the jobs may be submitted to them. */
-  #reportLostDispatcher (domain: string): void {
-    this.#witness.keepAll(domain)
-    const orders = this.#witness.listOfDomain(domain, undefined, this.#options.clock.now())
-    for (const other of this.#listConnected()) if (other.domain !== domain) this.#reportOrders(other, orders)
-  }
-
   #handleProgress (connection: DispatcherConnection, { jobId, submissionId, done }: Reply<'progress'>): void {
     const job = this.#findJobAt(jobId, connection, submissionId)
     for (const position of done) job?.done.add(position)
@@ -313,7 +292,7 @@
     const quietInMs = resubmitted ? Math.round(connection.measureQuietMs()) : 0
     this.#options.log.log('job', 'job-submitted', { job: job.spec.id, submission: submissionId, domain, resubmitted, quietInMs, ageMs: Math.round(ageMs), token, free: load?.freeProcessors, waitMs: load?.waitMs, queued: load?.queuedJobs, listAgeMs: roundIfFinite(connection.measureListAgeMs()), unlisted: this.#countUnlisted() })
     connection.reserveProcessors(job.demand.processors)
-    this.#reportOrders(connection, this.#witness.listOfJob(job.spec.id, domain, now))
+    this.#orderReports.reportOfJob(job.spec.id, connection)
     connection.send({ type: 'submit', submissionId, job: job.spec, ageMs, ...(suspendedMs > 0 ? { suspendedMs } : {}), resubmitted, quietInMs, done: [...job.done], ...(job.losses === undefined ? {} : { losses: job.losses }) })
   }
 
@@ -414,7 +393,7 @@
   #checkJobs (): void {
     const now = this.#options.clock.now()
     this.#cancellations.applyChanges()
-    this.#witness.expire(now)
+    this.#orderReports.expire(now)
     for (const job of [...this.#jobs.values()]) this.#checkJob(job, now)
   }
 
--- a/packages/fleet/src/start-announcements.ts
+++ b/packages/fleet/src/start-announcements.ts
@@ -29,7 +29,8 @@
   readonly owner: OwnerConnection | undefined
   readonly starts: readonly PlannedStart[]
   hasOwnerConfirmed: boolean
-  isOrdered: boolean
+  /** Whether the orders may be sent, or were given up. */
+  isDecided: boolean
 }
 
 /** The starts of one round. */
@@ -89,7 +90,7 @@
   /** Sends the announcement of this round to its witnesses. */
   sendRound (): void {
     if (this.#round.size === 0) return
-    const groups = [...this.#round].map(([owner, starts]): OwnersStarts => ({ owner, starts, hasOwnerConfirmed: owner === undefined, isOrdered: false }))
+    const groups = [...this.#round].map(([owner, starts]): OwnersStarts => ({ owner, starts, hasOwnerConfirmed: owner === undefined, isDecided: false }))
     this.#round = new Map()
     const open = new Set(groups.flatMap(({ starts }) => starts.map(({ run }) => run)))
     const announcement: Announcement = { sequence: this.#lastSequence + 1, announcedAt: this.#state.now(), groups, others: new Set(), isWitnessed: false, open }
@@ -151,14 +152,16 @@
       const waitedMs = now - announcement.announcedAt
       if (waitedMs > this.#lateOrderMs) for (const run of [...announcement.open]) this.settle(run)
       if (!announcement.isWitnessed && waitedMs > nextWitnessMs) this.#tellOther(announcement)
-      for (const group of announcement.groups) if (!group.isOrdered) this.#checkGroup(announcement, group, waitedMs)
+      for (const group of announcement.groups) if (!group.isDecided) this.#checkGroup(announcement, group, waitedMs)
       this.#orderConfirmed(announcement)
     }
   }
 
-  #checkGroup (announcement: Announcement, { owner, starts }: OwnersStarts, waitedMs: number): void {
+  #checkGroup (announcement: Announcement, group: OwnersStarts, waitedMs: number): void {
+    const { owner, starts } = group
     const isOwnerOpen = owner === undefined || this.#state.owners.isOpen(owner)
     if (waitedMs <= confirmTimeoutMs && isOwnerOpen) return
+    group.isDecided = true
     this.#state.metrics.observeAnnouncement('given-up', waitedMs)
     this.#state.log('order', 'starts-unannounced', { owner: owner?.ownerId, sequence: announcement.sequence, starts: starts.length, afterMs: Math.round(waitedMs), connected: isOwnerOpen, witnesses: announcement.others.size })
     for (const { session, run } of starts) {
@@ -185,8 +188,8 @@
     const waitedMs = this.#state.now() - announcement.announcedAt
     for (const group of announcement.groups) {
       const isOwnerEnough = group.owner !== undefined && waitedMs > ownerAloneMs
-      if (group.isOrdered || !group.hasOwnerConfirmed || !(announcement.isWitnessed || isOwnerEnough)) continue
-      group.isOrdered = true
+      if (group.isDecided || !group.hasOwnerConfirmed || !(announcement.isWitnessed || isOwnerEnough)) continue
+      group.isDecided = true
       this.#state.metrics.observeAnnouncement('confirmed', waitedMs)
       this.#confirmed.push(...group.starts)
     }
