Don't hold a task for an order whose run a view has listed

What callers would see: after a lost answer to a start order, nothing else starts at the target until that run has ended, and the task can't be repeated elsewhere for 12.5 s although its only order was carried out.

Cause: the time-out of an order marked the run as unanswered also when a view had listed it meanwhile. And a run that a view lists while its order is sent again settled the order, though one of the two sends may still be outstanding.

Change: a session counts the sends of an order. An order that was sent once and whose run is listed is settled; while it is being sent again nothing is settled.

--- a/packages/fleet/src/run.ts
+++ b/packages/fleet/src/run.ts
@@ -30,6 +30,8 @@
    * once a later incarnation of the target may have received the order.
    */
   startDeadlineMs: number
+  /** How often this session has sent the start order. */
+  sends: number
   /** Whether the start order was not answered, and the target has not listed the run either. */
   unanswered: boolean
   /** Whether the target is unreachable and a new incarnation of it might still carry out the start order. */
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -203,7 +203,7 @@
 
   /** Reserves capacity for a run whose order is not sent yet. */
   planRun (task: string, attempt: number, demand: Demand, now: number): Run {
-    const run: Run = { task, name: parseTaskName(task), attempt, demand, state: 'planned', sentAt: now, acceptedAt: undefined, stopAcceptedAt: undefined, startDeadlineMs: Infinity, unanswered: false, unconfirmed: false, percent: 0, progressAt: now, stopSentAt: -Infinity }
+    const run: Run = { task, name: parseTaskName(task), attempt, demand, state: 'planned', sentAt: now, acceptedAt: undefined, stopAcceptedAt: undefined, startDeadlineMs: Infinity, sends: 0, unanswered: false, unconfirmed: false, percent: 0, progressAt: now, stopSentAt: -Infinity }
     this.#runs.add(run)
     return run
   }
@@ -216,6 +216,7 @@
   orderRun (run: Run, payload: string, now: number): void {
     if (this.#closed || !this.isPlanned(run)) return
     run.state = 'starting'
+    run.sends++
     run.sentAt = now
     run.progressAt = now
     run.startDeadlineMs = (this.#targetClock.estimateLowerBound(now) ?? 0) + startWindowMs
@@ -271,8 +272,10 @@
     const reply = await this.#connection.start({ task: run.task, attempt: run.attempt, payload, deadlineMs: run.startDeadlineMs, token }, this.#orderTimeout.timeoutMs)
     const now = this.#clock.now()
     if (reply.kind === 'accepted') this.#orderTimeout.record(now - run.sentAt)
-    if (reply.kind === 'no-answer') this.#context.unansweredOrders.record(run)
-    if (reply.kind === 'no-answer') this.#observer.onOrderUnanswered(this, run)
+    // A view that lists the run shows that its only order was carried out.
+    const isOutstanding = reply.kind === 'no-answer' && (run.acceptedAt === undefined || run.sends > 1)
+    if (isOutstanding) this.#context.unansweredOrders.record(run)
+    if (isOutstanding) this.#observer.onOrderUnanswered(this, run)
     else this.#observer.onOrderSettled(run)
     if (this.#closed || !this.#runs.has(run)) return
     switch (reply.kind) {
@@ -283,6 +286,7 @@
         this.#observer.onStartAccepted(this, run, now - run.sentAt)
         return
       case 'no-answer':
+        if (run.acceptedAt !== undefined) return
         this.#runs.markUnanswered(run)
         this.#repeatOrStop(run)
         return
@@ -443,8 +447,9 @@
         this.#addDiscoveredRun(entry.task, entry.attempt, entry.percent, now)
         continue
       }
+      // While the order is sent again, it can't be told which of the two was carried out.
+      if (run.state === 'planned' && run.unanswered) this.#observer.onOrderCarriedOut(run.task, run.attempt)
       if (run.state === 'starting' || run.state === 'planned') run.state = 'running'
-      if (run.acceptedAt === undefined && run.unanswered) this.#observer.onOrderCarriedOut(run.task, run.attempt)
       this.#runs.markAccepted(run, now)
       if (entry.percent > run.percent) {
         run.percent = entry.percent
@@ -454,7 +459,7 @@
   }
 
   #addDiscoveredRun (task: string, attempt: number, percent: number, now: number): void {
-    const run: Run = { task, name: parseTaskName(task), attempt, demand: undefined, state: 'running', sentAt: now, acceptedAt: now, stopAcceptedAt: undefined, startDeadlineMs: 0, unanswered: false, unconfirmed: false, percent, progressAt: now, stopSentAt: -Infinity }
+    const run: Run = { task, name: parseTaskName(task), attempt, demand: undefined, state: 'running', sentAt: now, acceptedAt: now, stopAcceptedAt: undefined, startDeadlineMs: 0, sends: 0, unanswered: false, unconfirmed: false, percent, progressAt: now, stopSentAt: -Infinity }
     this.#runs.add(run)
     this.#observer.onOrderCarriedOut(task, attempt)
     this.#observer.onRunDiscovered(this, run)
--- a/packages/fleet/test/decisions.test.ts
+++ b/packages/fleet/test/decisions.test.ts
@@ -167,7 +167,7 @@
 })
 
 describe('a run that is missing from a view', () => {
-  const run: Run = { task: 't', attempt: 1, name: undefined, demand: undefined, state: 'starting', sentAt: 100, acceptedAt: undefined, stopAcceptedAt: undefined, startDeadlineMs: 5_000, unanswered: true, unconfirmed: false, percent: 0, progressAt: 100, stopSentAt: 0 }
+  const run: Run = { task: 't', attempt: 1, name: undefined, demand: undefined, state: 'starting', sentAt: 100, acceptedAt: undefined, stopAcceptedAt: undefined, startDeadlineMs: 5_000, sends: 1, unanswered: true, unconfirmed: false, percent: 0, progressAt: 100, stopSentAt: 0 }
 
   it('may still start before its deadline', () => {
     assert.equal(inferLossReason(run, 4_900, 200), undefined)
--- a/packages/fleet/test/unblocked-order-of-earlier-incarnation.test.ts
+++ b/packages/fleet/test/unblocked-order-of-earlier-incarnation.test.ts
@@ -93,7 +93,7 @@
 
   it('keeps the highest attempt of a task whose attempts were numbered from 1 again', () => {
     const orders = new UnansweredOrders(defaultFleetLimits.lateOrderMs)
-    const createRun = (attempt: number, sentAt: number): Run => ({ task: 'job.0.0.0', name: undefined, attempt, demand, state: 'starting', sentAt, acceptedAt: undefined, stopAcceptedAt: undefined, startDeadlineMs: 0, unanswered: true, unconfirmed: false, percent: 0, progressAt: 0, stopSentAt: 0 })
+    const createRun = (attempt: number, sentAt: number): Run => ({ task: 'job.0.0.0', name: undefined, attempt, demand, state: 'starting', sentAt, acceptedAt: undefined, stopAcceptedAt: undefined, startDeadlineMs: 0, sends: 1, unanswered: true, unconfirmed: false, percent: 0, progressAt: 0, stopSentAt: 0 })
     orders.record(createRun(1_027, 1_000))
     orders.record(createRun(1_025, 3_000))
     assert.equal(Math.max(...orders.list(4_000).map(order => order.attempt)), 1_027)
