Wait for the end of a run whose repeated start order the target refuses

What callers see: 504 start-unconfirmed for a job of short tasks although it was completed, when the dispatcher is so busy that it reads the answer to an order after its time-out.

Cause: the order was sent again after its time-out, the run had ended meanwhile, and the target answered `old`. That was taken for a stop: the task was barred, and the listed end `done` was ignored, as the task waited.

Change: after such a refusal the session polls at once. The end that the view lists ends the task, and settles the order if it was sent once without an answer; a view that lists none shows that the run was stopped, and bars the order. A listed end `done` completes a waiting task too.

--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -128,6 +128,8 @@
   override onRunLost (session: TargetSession, run: Run, reason: LossReason): void {
     this.#state.metrics.countRunEnd(reason)
     this.#state.log('order', 'run-lost', { task: run.task, attempt: run.attempt, target: session.info.id, reason, sentMsAgo: Math.round(this.#state.now() - run.sentAt) })
+    // The target refuses the order, and lists no end of the run: it was stopped.
+    if (reason === 'not-listed' && run.unanswered) this.#state.outstanding.bar(run.task)
     this.#state.requeueTask(run)
     this.#events.onChange()
   }
@@ -169,7 +171,7 @@
     if (how !== 'done' || this.#state.runs.has(name)) return
     const { job, task } = this.#state.findTask(name)
     if (job === undefined || task === undefined) this.#state.unclaimedRuns.addDone(name)
-    else if (task.state === 'unlocated') this.#endTask(name, how, true)
+    else if (task.state === 'unlocated' || task.state === 'waiting') this.#endTask(name, how, true)
   }
 
   override onSuperseded (session: TargetSession): void {
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -295,6 +295,10 @@
         this.#observer.onStartRejected(this, run, 'not-sent')
         return
       case 'rejected':
+        if (reply.reason === 'old' && run.sends > 1) {
+          this.#awaitEnd(run, now)
+          return
+        }
         this.#runs.remove(run)
         if (reply.reason === 'superseded' && this.#isSuperseded(token)) this.#observer.onSuperseded(this)
         else this.#observer.onStartRejected(this, run, reply.reason)
@@ -312,6 +316,16 @@
     if (!this.#observer.repeatOrder(this, run)) this.stopRun(run)
   }
 
+  /**
+   * The target refuses an order that was sent again: the run has ended there, by the order that got no answer, and a view lists its
+   * end; or it was stopped.
+   */
+  #awaitEnd (run: Run, now: number): void {
+    if (run.state === 'starting') run.state = 'running'
+    run.acceptedAt ??= now
+    this.pollNow()
+  }
+
   async #sendStop (run: Run): Promise<void> {
     run.stopSentAt = this.#clock.now()
     const token = this.#context.tokens.take(false)
@@ -433,6 +447,7 @@
         this.#observer.onUnknownRunEnded(this, end.task, end.how)
         continue
       }
+      if (run.unanswered && run.state !== 'starting') this.#observer.onOrderCarriedOut(run.task, run.attempt)
       this.#runs.remove(run)
       this.#observer.onRunEnded(this, run, end.how)
     }
--- a/packages/fleet/test/dispatcher-fixture.ts
+++ b/packages/fleet/test/dispatcher-fixture.ts
@@ -49,6 +49,7 @@
     this.#target.starts.push(order)
     this.#target.leaseEndsAt = Math.max(this.#target.leaseEndsAt, order.deadlineMs)
     if (!this.#target.isReachable || !this.#target.answersStarts) return await this.#resolveAfter(timeoutMs, noAnswer)
+    if (this.#target.ended.some(end => end.task === order.task && end.attempt >= order.attempt)) return await this.#resolveAfter(roundTripMs, { kind: 'rejected', reason: 'old' })
     this.#target.running.push({ task: order.task, attempt: order.attempt, percent: 1 })
     return await this.#resolveAfter(roundTripMs, { kind: 'accepted' })
   }
