--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -3,6 +3,7 @@
 import { request as sendRequest } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { Link } from './link.mjs'
 import { Store } from './store.mjs'
 import { Worker } from './worker.mjs'
 
@@ -24,9 +25,19 @@
   instances = []
   workers = []
 
-  /** @param layout - number of instances and of workers in each zone, by zone */
-  constructor (layout, recordFile) {
+  /** Links between machines, and from machines to workers, by the addresses of both ends; without links machines are connected directly. */
+  #links = new Map()
+  #views = new Map()
+
+  /**
+   * @param layout - number of instances and of workers in each zone, by zone
+   * @param hasLinks - whether connections between machines, and from machines to workers, run through proxies that can be cut
+   */
+  constructor (layout, recordFile, { hasLinks = false, worker = {}, guards = true } = {}) {
     this.layout = layout
+    this.hasLinks = hasLinks
+    this.workerOptions = worker
+    this.guards = guards
     this.#recordFile = recordFile
   }
 
@@ -49,18 +60,55 @@
     let host = 10
     for (const [zone, { instances, workers }] of Object.entries(this.layout)) {
       for (let index = 1; index <= workers; index++) {
-        const worker = new Worker({ id: `w-${zone}-${index}`, host: `${this.#network}.${100 + host++}`, service, zone, store: this.store, record: (event, fields) => { this.log(event, fields) } })
+        const worker = new Worker({ id: `w-${zone}-${index}`, host: `${this.#network}.${100 + host++}`, service, zone, store: this.store, record: (event, fields) => { this.log(event, fields) }, guards: this.guards, ...(typeof this.workerOptions === 'function' ? this.workerOptions(zone, index) : this.workerOptions) })
         await worker.start()
         this.workers.push(worker)
       }
       for (let index = 1; index <= instances; index++) this.instances.push({ name: `edge-${zone}-${index}`, zone, ip: `${this.#network}.${host++}`, process: undefined })
     }
+    for (const instance of this.instances) await this.#connectStore(instance)
     for (const instance of this.instances) this.startInstance(instance)
     await this.waitUntilReady(this.instances)
   }
 
-  setConfiguration (version, routes = [{ host: queueHost, path_prefix: queuePath, service, type: 'non_idempotent', timeout_ms: 4_000, target_latency_ms: 3_000, slack_factor: 3, priority: 0, max_attempts: 3 }]) {
-    this.store.put('op', 'config', { version, routes, services: [{ name: service, health_path: '/health', max_conns: 64, protocol: 'http1', tls: false, enforce_capacity: true }], limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 } })
+  /**
+   * Gives a machine its own address of the store. With links, that address names for each other machine and each worker
+   * the proxy of the link to it, as a translation of addresses in the network would.
+   */
+  async #connectStore (instance) {
+    instance.storeAddress = this.storeAddress
+    if (!this.hasLinks) return
+    const others = [...this.instances.filter(other => other !== instance).map(other => ({ name: other.name, address: `${other.ip}:7720` })), ...this.workers.map(worker => ({ name: worker.id, address: `${worker.host}:${worker.port}` }))]
+    const proxies = new Map()
+    for (const { name, address } of others) {
+      const link = new Link(address)
+      proxies.set(address, await link.listen(`${this.#network}.2`))
+      this.#links.set(`${instance.name} ${name}`, link)
+    }
+    const real = new Map([...proxies].map(([address, proxy]) => [proxy, address]))
+    const replace = map => text => text.replace(/127\.\d+\.\d+\.\d+:\d+/g, address => map.get(address) ?? address)
+    const view = { read: replace(proxies), write: replace(real), isDown: false }
+    this.#views.set(instance.name, view)
+    instance.storeAddress = await this.store.listen(`${this.#network}.1`, view)
+  }
+
+  /** Cuts or heals the links between two groups of machines and workers, by their names. */
+  setCut (names, others, isCut, resets = false) {
+    this.log(isCut ? 'cut' : 'healed', { between: names.join(' '), and: others.join(' ') })
+    for (const [ends, link] of this.#links) {
+      const [from, to] = ends.split(' ')
+      if ((names.includes(from) && others.includes(to)) || (others.includes(from) && names.includes(to))) link.setCut(isCut, resets, this.workers.some(({ id }) => id === to))
+    }
+  }
+
+  /** Lets the store refuse a machine, or serve it again. */
+  setRefused (instance, isRefused) {
+    this.log(isRefused ? 'store-refuses' : 'store-serves', { instance: instance.name })
+    this.#views.get(instance.name).isDown = isRefused
+  }
+
+  setConfiguration (version, routes = [{ host: queueHost, path_prefix: queuePath, service, type: 'non_idempotent', timeout_ms: 4_000, target_latency_ms: 60, slack_factor: 1.6, priority: 0, max_attempts: 3 }]) {
+    this.store.put('op', 'config', { version, routes, services: [{ name: service, health_path: '/health', max_conns: 64, protocol: 'http1', tls: false, enforce_capacity: this.guards }], limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 } })
     this.log('configuration', { version })
   }
 
@@ -87,7 +135,7 @@
       heartbeat_ms: 1_500,
       bounds: { contact_ms: contactMs, ack_ms: 4_000, drain_ms: 2_000, grace_s: 6, config_ms: 2_000, max_hold_ms: 1_000, stop_timeout_ms: 50, cancel_ms: 3_000, remote_factor: 1.5, retransmit_ms: 1_300 },
       commands: 'invoke',
-      platform: { address: this.storeAddress, form: 'table', writes_per_s: 800, reads_per_s: 2_000, tx_ms: 5 }
+      platform: { address: instance.storeAddress, form: 'table', writes_per_s: 800, reads_per_s: 2_000, tx_ms: 5 }
     }))
     const [program, ...options] = readCommand()
     const output = openSync(join(this.#folder, `${instance.name}.log`), 'a')
@@ -145,6 +193,7 @@
     await Promise.all(this.instances.map(async ({ ended }) => { await ended }))
     for (const worker of this.workers) if (worker.isUp) worker.crash()
     this.store.close()
+    for (const link of this.#links.values()) link.close()
     writeFileSync(this.#recordFile, this.#record.map(entry => `${JSON.stringify(entry)}\n`).join(''))
     if (process.env.KEEP_LOGS === undefined) rmSync(this.#folder, { recursive: true })
     else console.log(this.#folder)
@@ -175,8 +224,8 @@
 }
 
 /** Runs a case and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
-export async function runCase (layout, recordFile, play) {
-  const deployment = new Deployment(layout, recordFile)
+export async function runCase (layout, recordFile, play, options) {
+  const deployment = new Deployment(layout, recordFile, options)
   const hasTrouble = process.env.TROUBLE !== '0'
   let code = 2
   try {
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -16,8 +16,8 @@
   intercept = () => undefined
 
   /** @param record - called with each start and end of a run */
-  constructor ({ id, host, service, zone, store, record, capacity = { cpu: 32_000, mem_mb: 131_072 }, labels = ['kind-a', 'r0-0'] }) {
-    Object.assign(this, { id, host, service, zone, store, record, capacity, labels, isUp: false, seq: 0, lives: 0 })
+  constructor ({ id, host, service, zone, store, record, capacity = { cpu: 32_000, mem_mb: 131_072 }, labels = ['kind-a', 'r0-0'], guards = true }) {
+    Object.assign(this, { id, host, service, zone, store, record, capacity, labels, guards, isUp: false, seq: 0, lives: 0 })
   }
 
   /** Begins a life: nothing of an earlier one is known. */
@@ -90,7 +90,7 @@
     if (attempt <= (this.barred.get(task) ?? 0)) { refuse('old'); return }
     const { work, cpu } = JSON.parse(spec)
     const used = [...this.runs.values()].reduce((sum, run) => sum + run.cpu, 0)
-    if (used + cpu > this.capacity.cpu) { refuse('room'); return }
+    if (this.guards && used + cpu > this.capacity.cpu) { refuse('room'); return }
     this.runs.set(`${task}#${attempt}`, { task, attempt, work, cpu, beganAt: performance.now(), stopAt: Infinity })
     this.record('run-starts', { worker: this.id, life: this.lives, task, attempt, spec, late: isLate })
     answer(200)
