--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -54,6 +54,20 @@
     return this.#record.filter(entry => entry.event === event && condition(entry))
   }
 
+  /** @returns the starts of a job's tasks */
+  findStarts (jobId) {
+    return this.find('run-starts', ({ task }) => task.startsWith(`${jobId}.`))
+  }
+
+  /** Waits until tasks of a job have started. */
+  async waitForStart (jobId, count = 1) {
+    const until = this.now + 10_000
+    while (this.findStarts(jobId).length < count) {
+      if (this.now > until) throw new Error('the job has not started')
+      await pause(5)
+    }
+  }
+
   async start () {
     this.storeAddress = await this.store.listen(`${this.#network}.1`)
     this.setConfiguration(11)
@@ -227,6 +241,9 @@
 export async function runCase (layout, recordFile, play, options) {
   const deployment = new Deployment(layout, recordFile, options)
   const hasTrouble = process.env.TROUBLE !== '0'
+  // Nothing goes on beyond the longest time of a case.
+  setTimeout(() => { deployment.close().finally(() => { process.exit(2) }) }, 100_000).unref()
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => { deployment.close().finally(() => { process.exit(2) }) })
   let code = 2
   try {
     await deployment.start()
