--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,30 +1,55 @@
-import { createId, createJob, pause, queuePath, runCase } from '../lib-3/deployment.mjs'
+import { createId, createJob, findParallelRuns, pause, runCase } from '../lib-3/deployment.mjs'
 
-const contactMs = 3_000
+const retransmitMs = 1_300
+/** The late orders arrive within this time after the start of their worker. */
+const arrivalMs = 250
+const tasks = 4
 
-await runCase({ a: { instances: 2, workers: 2 }, b: { instances: 2, workers: 2 } }, new URL('record.txt', import.meta.url), async (deployment, hasTrouble) => {
-  const { instances } = deployment
+await runCase({ a: { instances: 2, workers: 2 }, b: { instances: 2, workers: 0 } }, new URL('record.txt', import.meta.url), async (deployment, hasTrouble) => {
+  const { instances, workers } = deployment
   const id = createId()
-  const job = createJob(2, 2_500)
-  const answer = deployment.submit(instances[0], id, job)
-  await pause(500)
-  const cancelled = await deployment.call(instances[2], 'DELETE', `${queuePath}${id}`)
-  if (cancelled.status !== 200) throw new Error(`the cancellation was answered ${cancelled.status}`)
-  const acknowledgedAt = deployment.now
-  const first = await answer
-  if (first.status !== 200) throw new Error(`the job was answered ${first.status}`)
-  await pause(300)
+  const job = createJob(tasks, 2_500, 8_000)
+  const late = []
+  let isLate = hasTrouble
+  for (const worker of workers) {
+    worker.intercept = ({ path, order }) => {
+      if (!isLate || path !== '/api/run-start') return undefined
+      deployment.log('order-without-answer', { worker: worker.id, task: order.task, attempt: order.attempt })
+      return carryOut => { late.push({ worker, task: order.task, carryOut, at: deployment.now }) }
+    }
+  }
+  const first = deployment.submit(instances[0], id, job)
   if (hasTrouble) {
+    for (let waited = 0; late.length === 0 && waited < 5_000; waited += 5) await pause(5)
+    await pause(30)
+    isLate = false
+    const [{ worker: down }] = late
+    if (late.some(({ worker }) => worker !== down)) throw new Error('the orders went to both workers')
+    deployment.log('worker-down', { worker: down.id })
+    down.crash()
+    await pause(200)
     for (const instance of instances) deployment.signal(instance, 'SIGKILL')
     await Promise.all(instances.map(async ({ ended }) => { await ended }))
-    await pause(500)
     for (const instance of instances) deployment.startInstance(instance)
-    await deployment.waitUntilReady(instances)
+    await first
+    // The connection is broken: the job is sent again, to another node.
+    await pause(retransmitMs)
+    const again = deployment.submit(instances[1], id, job)
+    await deployment.waitForStart(id, tasks)
+    await pause(Math.max(300, late[0].at + 2_100 - deployment.now))
+    await down.start()
+    deployment.log('worker-up', { worker: down.id })
+    const arrivals = late.map(async ({ task, carryOut, at }) => {
+      await pause(Math.random() * arrivalMs)
+      deployment.log('late-order', { worker: down.id, task, ageMs: Math.round(deployment.now - at) })
+      carryOut()
+    })
+    await Promise.all([...arrivals, again])
+  } else {
+    await first
   }
-  // All machines are in touch again.
-  await pause(contactMs + 500)
-  deployment.log('request-arrives-again', { id, secondsAfterAnswer: Math.round(deployment.now - acknowledgedAt) / 1_000 })
-  await deployment.submit(instances[1], id, job)
-  const starts = deployment.find('run-starts', ({ task, at }) => task.startsWith(`${id}.`) && at * 1_000 > acknowledgedAt + 3_000)
-  return starts.length === 0 ? undefined : `UNASKED: ${starts.length} tasks of job ${id} started ${starts.map(({ at }) => (at - acknowledgedAt / 1_000).toFixed(2)).join(' and ')} s after its cancellation was acknowledged`
+  await pause(500)
+  const pairs = findParallelRuns(deployment)
+  const [pair] = pairs
+  return pair === undefined ? undefined : `TWICE: ${pairs.length} of ${tasks} tasks ran on two workers at once, for example ${pair[0].task} on ${pair[0].worker} from ${pair[0].at} s to ${pair[0].until} s and on ${pair[1].worker} from ${pair[1].at} s to ${pair[1].until} s`
 })
