--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -6,7 +6,7 @@
 
 /**
  * Stand-in for a worker, by the page on running tasks: fences, attempts, leases on its own clock, the lists of runs and ends,
- * and lives under one id. A task's work in milliseconds is `work` of the JSON in its `spec`.
+ * and lives under one id. A task's work in milliseconds is `work` of the JSON in its `spec`, or the entry of that list for its step.
  */
 export class Worker {
   #server
@@ -88,7 +88,8 @@
     if (deadline <= this.#readClock()) { refuse('late'); return }
     this.#extend(deadline)
     if (attempt <= (this.barred.get(task) ?? 0)) { refuse('old'); return }
-    const { work, cpu } = JSON.parse(spec)
+    const { work: works, cpu } = JSON.parse(spec)
+    const work = Array.isArray(works) ? works[Math.min(Number(task.split('.')[2]), works.length - 1)] : works
     const used = [...this.runs.values()].reduce((sum, run) => sum + run.cpu, 0)
     if (this.guards && used + cpu > this.capacity.cpu) { refuse('room'); return }
     this.runs.set(`${task}#${attempt}`, { task, attempt, work, cpu, beganAt: performance.now(), stopAt: Infinity })
