--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -201,6 +201,17 @@
     return this.store.get('sesamereel', `dispatcher/${zone}`)?.instance
   }
 
+  /** Waits until the row of a zone's dispatcher names an instance of that zone; instances may be ready before. */
+  async waitForDispatcher (zone) {
+    const until = this.now + 10_000
+    for (;;) {
+      const found = this.instances.find(instance => instance.zone === zone && instance.name === this.findDispatcher(zone))
+      if (found !== undefined) return found
+      if (this.now > until) throw new Error(`no instance of zone ${zone} dispatches there`)
+      await pause(20)
+    }
+  }
+
   /** Ends all processes and stand-ins, and writes the record. */
   async close () {
     for (const { process: child } of this.instances) if (child !== undefined && child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
@@ -243,7 +254,15 @@
   const hasTrouble = process.env.TROUBLE !== '0'
   // Nothing goes on beyond the longest time of a case.
   setTimeout(() => { deployment.close().finally(() => { process.exit(2) }) }, 100_000).unref()
-  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => { deployment.close().finally(() => { process.exit(2) }) })
+  const giveUp = () => { deployment.close().finally(() => { process.exit(2) }) }
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, giveUp)
+  // By itself Node.js would exit with 1, which says that the rule was broken, and leave the processes behind.
+  for (const event of ['uncaughtException', 'unhandledRejection']) {
+    process.on(event, error => {
+      console.log(`the case could not run: ${error.message}`)
+      giveUp()
+    })
+  }
   let code = 2
   try {
     await deployment.start()
