Bench: give the targets and links of each cluster addresses of its own

A cluster that started while another one still listed a killed target could get that target's port, and with it the orders for it.

Change: they listen at reserved addresses, as the entry instances did: a loopback address drawn for each process, and no port twice.

--- a/packages/bench/src/address-reservation.ts
+++ b/packages/bench/src/address-reservation.ts
@@ -3,8 +3,8 @@
 import { createServer } from 'node:net'
 
 /**
- * Loopback address for reserved ports. Outgoing connections use 127.0.0.1 as their source, so none
- * of them can take a port between its reservation and its use.
+ * Loopback address for reserved ports, drawn for each process, so that clusters of different processes share none. Outgoing
+ * connections use 127.0.0.1 as their source, so none of them can take a port between its reservation and its use.
  */
 const reservedHost = `127.${randomInt(1, 255)}.${randomInt(0, 256)}.${randomInt(1, 255)}`
 
--- a/packages/bench/src/cluster-network.ts
+++ b/packages/bench/src/cluster-network.ts
@@ -1,4 +1,5 @@
 import { type LinkMode } from '@sesamereel/stand-ins'
+import { reserveAddresses } from './address-reservation.js'
 import { type TargetProcess } from './cluster-model.js'
 import { callHttpOrThrow } from './http-call.js'
 import { type ProcessLauncher } from './launcher.js'
@@ -92,7 +93,9 @@
   }
 
   async #addLinks (links: readonly LinkSpec[]): Promise<void> {
-    const added = await callHttpOrThrow(this.#adminAddress, '/links', { method: 'POST', body: links }) as Record<string, string>
+    const addresses = await reserveAddresses(links.length)
+    const body = links.map((link, index) => ({ ...link, listen: addresses[index] }))
+    const added = await callHttpOrThrow(this.#adminAddress, '/links', { method: 'POST', body }) as Record<string, string>
     for (const [name, address] of Object.entries(added)) this.#linkAddresses.set(name, address)
   }
 }
--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -104,8 +104,9 @@
   async startTarget (domain: string, spec: TargetSpec): Promise<TargetProcess> {
     const id = `${domain}-t${++this.#targetNumber}`
     const capacity = spec.capacity ?? defaultCapacity
+    const [address] = await reserveAddresses(1)
     const { addresses } = await this.launcher.startStandIn(id, 'target', {
-      id, ...spec, capacity, recordFile: buildRecordPath(this.launcher.folder, id)
+      id, ...spec, capacity, address, recordFile: buildRecordPath(this.launcher.folder, id)
     })
     const target = { id, domain, spec: { ...spec, capacity }, apiAddress: addresses['api']!, adminAddress: addresses['admin']! }
     await this.#network.connectTarget(target)
