Take back reports of orders that were answered while their witness was not connected

What callers saw: 504 start-unconfirmed for a job and, for up to 12.5 s, for each repeat of it, although it had been completed (client limits, JSON of short values at a path with a route; one of 288 tests, six copies at once beside three busy processes).

Cause: the flooded owner was too slow to answer heartbeats, and lost its connection to a living dispatcher of another domain. As a witness it then reported that dispatcher's last announced orders to the other domains, and never took that back. They had been answered, the job had ended; its repeat went to the owner's own domain, which held the tasks for a target that it can't use.

Change: connected again to the same dispatcher, a witness learns from the first heartbeat which of the kept orders are settled, and takes those back that it has reported (earlier-orders-settled). A report by another witness, or of an order known to have no answer, stays. Two witnesses that report the same order no longer count as two sends, which kept the order from being settled by a view that lists it.

--- a/packages/fleet/src/dispatcher.ts
+++ b/packages/fleet/src/dispatcher.ts
@@ -292,6 +292,7 @@
         break
       case 'start-confirmation': this.#announcements.confirm(connection, message.sequence); break
       case 'earlier-orders': this.#heldTasks.receive(connection, message.orders); break
+      case 'earlier-orders-settled': this.#heldTasks.retract(connection, message.orders); break
       case 'withdraw': this.#intake.withdraw(connection, message); break
       case 'cancel': this.#intake.cancel(connection, message, message.reason); break
       case 'cancel-any': this.#cancellations.cancel(connection, message.jobId, message.known === true); break
--- a/packages/fleet/src/held-tasks.ts
+++ b/packages/fleet/src/held-tasks.ts
@@ -1,7 +1,7 @@
 import { type DispatchState } from './dispatch-state.js'
 import { type DispatchedJob, type TaskRecord } from './dispatched-job.js'
 import { slowestClockRate, type FleetLimits } from './limits.js'
-import { type EarlierOrder } from './messages.js'
+import { type AnnouncedStart, type EarlierOrder } from './messages.js'
 import { type OrderRecorder, type RecordedOrder } from './order-recorder.js'
 import { allowsTarget, type StartHold } from './outstanding-orders.js'
 import { type OwnerConnection } from './owner-registry.js'
@@ -38,7 +38,7 @@
         connection.send({ type: 'order-settled', task, attempt })
         continue
       }
-      this.#state.outstanding.record({ task, attempt, target, expiresAt: now + remainingMs }, isUnanswered ? Infinity : 1, [connection])
+      this.#state.outstanding.record({ task, attempt, target, expiresAt: now + remainingMs, reporters: [connection.ownerId] }, isUnanswered ? Infinity : 1, [connection])
       this.#contexts.awaitIncarnations(target, now + remainingMs)
       // The dispatcher of the target's own domain records the others.
       if (this.#state.sessions.has(target)) this.#recorder?.add({ task, attempt, target })
@@ -47,6 +47,14 @@
     this.#state.log('belief', 'earlier-orders-known', { owner: connection.ownerId, orders: orders.length, targets: new Set(orders.map(({ target }) => target)).size, longestMs: Math.round(Math.max(...orders.map(({ remainingMs }) => remainingMs))) })
   }
 
+  /** Releases the tasks of orders that a witness has reported, if no one else has, as they were answered. */
+  retract (connection: OwnerConnection, orders: readonly AnnouncedStart[]): void {
+    for (const order of orders) {
+      const { task, attempt } = order
+      for (const witness of this.#state.outstanding.retract(order, connection.ownerId)) witness.send({ type: 'order-settled', task, attempt })
+    }
+  }
+
   /** Holds the tasks of orders that the store has kept for lost dispatchers of all domains, as their jobs may be submitted here. */
   receiveRecorded (orders: readonly RecordedOrder[], domain: string): void {
     const now = this.#state.now()
--- a/packages/fleet/src/job-owner.ts
+++ b/packages/fleet/src/job-owner.ts
@@ -176,7 +176,7 @@
   }
 
   override onLoadChanged (connection: DispatcherConnection): void {
-    this.#orderReports.settle(connection)
+    this.#orderReports.settle(connection, this.#listConnected())
     const { load } = connection
     if (load === undefined || load.queuedJobs > 0) return
     this.#moveWaitingJobs(connection, load)
@@ -186,7 +186,7 @@
     switch (message.type) {
       case 'started': this.#handleStarted(connection, message.jobIds); break
       case 'start-announcement':
-        this.#orderReports.confirm(connection, message)
+        this.#orderReports.confirm(connection, message, this.#listConnected())
         this.#handleStarted(connection, message.starts.map(({ task }) => parseTaskName(task)?.jobId ?? ''))
         break
       case 'order-unanswered':
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -77,6 +77,11 @@
   | { readonly type: 'start-confirmation', readonly sequence: number }
   /** Orders of lost dispatchers whose answers the sender does not know; sent before the jobs that they concern. */
   | { readonly type: 'earlier-orders', readonly orders: readonly EarlierOrder[] }
+  /**
+   * Orders that the sender has reported while their dispatcher was not connected to it, and that were answered: the sender is
+   * connected to that dispatcher again. Earlier versions ignore it.
+   */
+  | { readonly type: 'earlier-orders-settled', readonly orders: readonly AnnouncedStart[] }
   | { readonly type: 'withdraw', readonly jobId: string, readonly submissionId?: number }
   | { readonly type: 'cancel', readonly jobId: string, readonly reason: string, readonly submissionId?: number }
   /**
--- a/packages/fleet/src/order-reports.ts
+++ b/packages/fleet/src/order-reports.ts
@@ -19,9 +19,13 @@
     this.#log = log
   }
 
-  /** Confirms an announcement once its orders are known here, so that a successor of the dispatcher is told of them. */
-  confirm (connection: DispatcherConnection, { sequence, settledSequence, starts }: Message<'start-announcement'>): void {
-    this.#witness.settle(connection.domain, settledSequence)
+  /**
+   * Confirms an announcement once its orders are known here, so that a successor of the dispatcher is told of them.
+   *
+   * @param others - connections to the dispatchers of all domains
+   */
+  confirm (connection: DispatcherConnection, { sequence, settledSequence, starts }: Message<'start-announcement'>, others: readonly DispatcherConnection[]): void {
+    this.#settle(connection, settledSequence, others)
     this.#witness.record(connection.domain, connection.token, sequence, starts, this.#clock.now())
     connection.send({ type: 'start-confirmation', sequence })
   }
@@ -46,8 +50,8 @@
   }
 
   /** Forgets the orders that a dispatcher's heartbeat has settled. */
-  settle ({ domain, settledSequence }: DispatcherConnection): void {
-    this.#witness.settle(domain, settledSequence)
+  settle (connection: DispatcherConnection, others: readonly DispatcherConnection[]): void {
+    this.#settle(connection, connection.settledSequence, others)
   }
 
   /** Reports the orders of a domain's earlier dispatchers to the one that is connected now; to be called before jobs are submitted to it. */
@@ -72,6 +76,15 @@
     this.#witness.expire(now)
   }
 
+  /** Forgets settled orders, and takes those back that were reported to other domains while their dispatcher was not connected. */
+  #settle ({ domain, token }: DispatcherConnection, sequence: number, others: readonly DispatcherConnection[]): void {
+    const settled = this.#witness.settle(domain, token, sequence)
+    if (settled.length === 0) return
+    this.#log.log('belief', 'earlier-orders-settled', { domain, token, orders: settled.length })
+    const orders = settled.map(({ task, attempt, target }) => ({ task, attempt, target }))
+    for (const other of others) if (other.domain !== domain) other.send({ type: 'earlier-orders-settled', orders })
+  }
+
   #report (connection: DispatcherConnection, orders: readonly EarlierOrder[]): void {
     if (orders.length === 0) return
     const { domain, token } = connection
--- a/packages/fleet/src/order-witness.ts
+++ b/packages/fleet/src/order-witness.ts
@@ -12,6 +12,8 @@
   readonly domain: string
   /** Token of the dispatcher that has sent it. */
   readonly token: number
+  /** Sequence number of its announcement; undefined for an order that was not announced to this instance. */
+  readonly sequence: number | undefined
   /** Monotonic time in milliseconds at which the announcement was received. */
   readonly receivedAt: number
   isUnanswered: boolean
@@ -43,14 +45,14 @@
   record (domain: string, token: number, sequence: number, starts: readonly AnnouncedStart[], now: number): void {
     const ofDomain = this.#announced.get(domain) ?? new Map<number, AnnouncedOrders>()
     this.#announced.set(domain, ofDomain)
-    ofDomain.set(sequence, starts.map(start => ({ ...start, domain, token, receivedAt: now, isUnanswered: false })))
+    ofDomain.set(sequence, starts.map(start => ({ ...start, domain, token, sequence, receivedAt: now, isUnanswered: false })))
   }
 
   /** Keeps an order that got no answer. */
   keepUnanswered (domain: string, task: string, attempt: number): void {
-    for (const orders of this.#announced.get(domain)?.values() ?? []) {
-      const order = orders.find(other => other.task === task && other.attempt === attempt)
-      if (order === undefined) continue
+    const announced = [...this.#announced.get(domain)?.values() ?? []].flat()
+    for (const order of [...announced, ...this.#kept]) {
+      if (order.domain !== domain || order.task !== task || order.attempt !== attempt) continue
       order.isUnanswered = true
       this.#kept.add(order)
     }
@@ -64,18 +66,24 @@
   /** Keeps outstanding orders of a dispatcher whose other witnesses are lost. */
   keep (domain: string, token: number, orders: readonly EarlierOrder[], now: number): void {
     for (const { task, attempt, target, isUnanswered, remainingMs } of orders) {
-      this.#kept.add({ task, attempt, target, domain, token, isUnanswered, receivedAt: now + remainingMs - this.#retentionMs })
+      this.#kept.add({ task, attempt, target, domain, token, sequence: undefined, isUnanswered, receivedAt: now + remainingMs - this.#retentionMs })
     }
   }
 
-  /** Forgets the announcements up to a sequence number, as their orders were answered or reported as unanswered. */
-  settle (domain: string, sequence: number): void {
+  /**
+   * Forgets the announcements of a dispatcher up to a sequence number, as their orders were answered or reported as unanswered.
+   *
+   * @returns the orders among them that were kept because the dispatcher was not connected
+   */
+  settle (domain: string, token: number, sequence: number): readonly AnnouncedStart[] {
     const ofDomain = this.#announced.get(domain)
-    if (ofDomain === undefined) return
-    for (const announced of ofDomain.keys()) {
+    for (const announced of ofDomain?.keys() ?? []) {
       if (announced > sequence) break
-      ofDomain.delete(announced)
+      ofDomain!.delete(announced)
     }
+    const settled = [...this.#kept].filter(order => order.domain === domain && order.token === token && !order.isUnanswered && (order.sequence ?? Infinity) <= sequence)
+    for (const order of settled) this.#kept.delete(order)
+    return settled
   }
 
   /** Keeps all announced orders of a domain whose dispatcher is not connected any more, as reports of it may be lost. */
--- a/packages/fleet/src/outstanding-orders.ts
+++ b/packages/fleet/src/outstanding-orders.ts
@@ -15,6 +15,8 @@
   readonly expiresAt: number
   /** Whether the target is in another failure domain, whose dispatcher knows of the order as well if there is one. */
   readonly isElsewhere?: boolean
+  /** Incarnation ids of the owners that have reported the order, if nothing but their reports tells of it. */
+  readonly reporters?: readonly string[]
 }
 
 /** How a task may start while orders of it are outstanding: only by the very same order. */
@@ -28,11 +30,14 @@
   readonly expiresAt: number
 }
 
+/** An order with how often it was sent without an answer, at most. */
+interface CountedOrder extends OutstandingOrder {
+  readonly sends: number
+}
+
 /** The outstanding orders of one task. */
 interface TaskOrders {
-  readonly orders: readonly OutstandingOrder[]
-  /** How often the order was sent without an answer, at most. */
-  readonly sends: number
+  readonly orders: readonly CountedOrder[]
   /** Whether the target refuses the order's attempt. */
   readonly isBarred: boolean
   /** Connections of the owners that know of the orders. */
@@ -59,23 +64,42 @@
   /**
    * Records an order.
    *
-   * @param sends - how often it was sent without an answer, at most, beside what was recorded before
+   * @param sends - how often it was sent without an answer, at most: by this dispatcher beside what was recorded before, or as
+   *   others report
    * @param witnesses - connections of the owners that know of it
    */
   record (order: OutstandingOrder, sends: number, witnesses: readonly OwnerConnection[]): void {
     const known = this.#byTask.get(order.task)
-    const isSame = ({ attempt, target }: OutstandingOrder): boolean => attempt === order.attempt && target === order.target
-    const earlier = known?.orders.find(isSame)
-    const address = order.address ?? earlier?.address
-    const newest = { ...order, ...(address === undefined ? {} : { address }), expiresAt: Math.max(order.expiresAt, earlier?.expiresAt ?? 0) }
+    const earlier = known?.orders.find(other => isSameOrder(other, order))
+    const others = known?.orders.filter(other => other !== earlier) ?? []
     this.#byTask.set(order.task, {
-      orders: [...known?.orders.filter(other => !isSame(other)) ?? [], newest],
-      sends: (known?.sends ?? 0) + sends,
+      orders: [...others, earlier === undefined ? { ...order, sends } : mergeOrders(earlier, order, sends)],
       isBarred: known?.isBarred ?? false,
       witnesses: [...new Set([...known?.witnesses ?? [], ...witnesses])]
     })
   }
 
+  /**
+   * Takes back the report of an order that was answered.
+   *
+   * @param reporter - incarnation id of the owner that has reported it
+   * @returns connections of the owners that know of an order that is not outstanding any more
+   */
+  retract (order: AnnouncedStart, reporter: string): readonly OwnerConnection[] {
+    const known = this.#byTask.get(order.task)
+    const reported = known?.orders.find(other => isSameOrder(other, order))
+    if (known === undefined || reported?.reporters?.includes(reporter) !== true || reported.sends > 1) return []
+    const reporters = reported.reporters.filter(other => other !== reporter)
+    const others = known.orders.filter(other => other !== reported)
+    if (reporters.length > 0) {
+      this.#byTask.set(order.task, { ...known, orders: [...others, { ...reported, reporters }] })
+      return []
+    }
+    if (others.length > 0) this.#byTask.set(order.task, { ...known, orders: others })
+    else this.#byTask.delete(order.task)
+    return known.witnesses
+  }
+
   /**
    * Notes that an order was carried out. It is carried out once each time that it was sent.
    *
@@ -83,7 +107,8 @@
    */
   settle (task: string, attempt: number): readonly OwnerConnection[] {
     const known = this.#byTask.get(task)
-    if (known?.sends !== 1 || known.orders[0]?.attempt !== attempt) return []
+    const [order, ...others] = known?.orders ?? []
+    if (known === undefined || others.length > 0 || order?.sends !== 1 || order.attempt !== attempt) return []
     this.#byTask.delete(task)
     return known.witnesses
   }
@@ -99,7 +124,7 @@
    * @returns the orders that no connected owner knows of, and whether they may have been sent several times
    */
   listUnwitnessed (isOpen: (connection: OwnerConnection) => boolean): ReadonlyArray<{ readonly order: OutstandingOrder, readonly isRepeated: boolean }> {
-    return [...this.#byTask.values()].filter(({ witnesses }) => !witnesses.some(isOpen)).flatMap(({ orders, sends }) => orders.map(order => ({ order, isRepeated: sends > 1 })))
+    return [...this.#byTask.values()].filter(({ witnesses }) => !witnesses.some(isOpen)).flatMap(({ orders }) => orders.map(order => ({ order, isRepeated: order.sends > 1 })))
   }
 
   /** Notes that the target refuses the attempt of a task's order, as a run of it has ended there or was stopped. */
@@ -148,3 +173,27 @@
     }
   }
 }
+
+function isSameOrder (one: AnnouncedStart, other: AnnouncedStart): boolean {
+  return one.attempt === other.attempt && one.target === other.target
+}
+
+/** Adds a report, or a further send of this dispatcher, to what is known of an order. */
+function mergeOrders (known: CountedOrder, order: OutstandingOrder, sends: number): CountedOrder {
+  const isReport = order.reporters !== undefined
+  const address = order.address ?? known.address
+  const isElsewhere = known.isElsewhere === true && order.isElsewhere === true
+  const reporters = isReport && known.reporters !== undefined ? [...new Set([...known.reporters, ...order.reporters])] : undefined
+  const { task, attempt, target } = known
+  return {
+    task,
+    attempt,
+    target,
+    expiresAt: Math.max(order.expiresAt, known.expiresAt),
+    // Several witnesses report the same send.
+    sends: isReport ? Math.max(known.sends, sends) : known.sends + sends,
+    ...(address === undefined ? {} : { address }),
+    ...(isElsewhere ? { isElsewhere } : {}),
+    ...(reporters === undefined ? {} : { reporters })
+  }
+}
