Count the answer to a start order that comes after its timeout

Nothing was lost.

Cause: an order counts as unanswered after 60 to 150 ms, and its connection was closed then, with the answer. Three sends of one order were outstanding, although the target carried the order out. Its lease was not extended, as the run was not known; the target listed the end `lapsed`, refused the same order as `old`, and the task could start nowhere until the hold was over. The trace: order-unanswered three times until 53.634 s, run-ended how=lapsed at 54.148 s, start-rejected reason=old at 54.240 s, then task-held-for-order at each repeat.

Each answer takes back the send that it belongs to; when all are answered the order is no longer outstanding, so that the task may start anywhere, for a new attempt.

--- a/packages/fleet/src/fleet-metrics.ts
+++ b/packages/fleet/src/fleet-metrics.ts
@@ -5,11 +5,11 @@
   /** Records how an announcement of start orders ended, and the time until then. */
   abstract observeAnnouncement (outcome: 'confirmed' | 'given-up', durationMs: number): void
   /**
-   * Counts start orders that a later incarnation of their target may carry out: those that were not answered, those of lost
+   * Counts start orders that a later incarnation of their target may carry out: those that were not answered, or after their timeout, those of lost
    * dispatchers that witnesses report, those that were written to the store or read from it, tasks that are held for them, and jobs
    * that are given up for them.
    */
-  abstract countOutstandingOrders (event: 'unanswered' | 'reported' | 'recorded' | 'read' | 'held' | 'given-up', count: number): void
+  abstract countOutstandingOrders (event: 'unanswered' | 'answered-late' | 'reported' | 'recorded' | 'read' | 'held' | 'given-up', count: number): void
   abstract countRunEnd (kind: string): void
   /** Counts that this instance has become a dispatcher. */
   abstract countTakeover (cause: string): void
--- a/packages/fleet/src/outstanding-orders.ts
+++ b/packages/fleet/src/outstanding-orders.ts
@@ -17,6 +17,8 @@
   readonly isElsewhere?: boolean
   /** Incarnation ids of the owners that have reported the order, if nothing but their reports tells of it. */
   readonly reporters?: readonly string[]
+  /** Monotonic times in milliseconds at which this dispatcher has sent the order without an answer. */
+  readonly sentAt?: readonly number[]
 }
 
 /** How a task may start while orders of it are outstanding: only by the very same order. */
@@ -30,9 +32,9 @@
   readonly expiresAt: number
 }
 
-/** An order with how often it was sent without an answer, at most. */
+/** An order with how often other dispatchers have sent it without an answer, at most. */
 interface CountedOrder extends OutstandingOrder {
-  readonly sends: number
+  readonly reportedSends: number
 }
 
 /** The outstanding orders of one task. */
@@ -64,16 +66,15 @@
   /**
    * Records an order.
    *
-   * @param sends - how often it was sent without an answer, at most: by this dispatcher beside what was recorded before, or as
-   *   others report
+   * @param reportedSends - how often other dispatchers have sent it without an answer, at most
    * @param witnesses - connections of the owners that know of it
    */
-  record (order: OutstandingOrder, sends: number, witnesses: readonly OwnerConnection[]): void {
+  record (order: OutstandingOrder, reportedSends: number, witnesses: readonly OwnerConnection[]): void {
     const known = this.#byTask.get(order.task)
     const earlier = known?.orders.find(other => isSameOrder(other, order))
     const others = known?.orders.filter(other => other !== earlier) ?? []
     this.#byTask.set(order.task, {
-      orders: [...others, earlier === undefined ? { ...order, sends } : mergeOrders(earlier, order, sends)],
+      orders: [...others, earlier === undefined ? { ...order, reportedSends } : mergeOrders(earlier, order, reportedSends)],
       isBarred: known?.isBarred ?? false,
       witnesses: [...new Set([...known?.witnesses ?? [], ...witnesses])]
     })
@@ -86,18 +87,22 @@
    * @returns connections of the owners that know of an order that is not outstanding any more
    */
   retract (order: AnnouncedStart, reporter: string): readonly OwnerConnection[] {
-    const known = this.#byTask.get(order.task)
-    const reported = known?.orders.find(other => isSameOrder(other, order))
-    if (known === undefined || reported?.reporters?.includes(reporter) !== true || reported.sends > 1) return []
+    const reported = this.#find(order)
+    if (reported?.reporters?.includes(reporter) !== true || countSends(reported) > 1) return []
     const reporters = reported.reporters.filter(other => other !== reporter)
-    const others = known.orders.filter(other => other !== reported)
-    if (reporters.length > 0) {
-      this.#byTask.set(order.task, { ...known, orders: [...others, { ...reported, reporters }] })
-      return []
-    }
-    if (others.length > 0) this.#byTask.set(order.task, { ...known, orders: others })
-    else this.#byTask.delete(order.task)
-    return known.witnesses
+    return this.#replace(reported, reporters.length === 0 ? undefined : { ...reported, reporters })
+  }
+
+  /**
+   * Notes that one send of an order by this dispatcher was answered after all.
+   *
+   * @returns as for `retract`
+   */
+  settleSend (order: AnnouncedStart, sentAt: number): readonly OwnerConnection[] {
+    const known = this.#find(order)
+    if (known?.sentAt?.includes(sentAt) !== true) return []
+    const remaining = { ...known, sentAt: known.sentAt.filter(other => other !== sentAt) }
+    return this.#replace(known, countSends(remaining) === 0 ? undefined : remaining)
   }
 
   /**
@@ -108,7 +113,7 @@
   settle (task: string, attempt: number): readonly OwnerConnection[] {
     const known = this.#byTask.get(task)
     const [order, ...others] = known?.orders ?? []
-    if (known === undefined || others.length > 0 || order?.sends !== 1 || order.attempt !== attempt) return []
+    if (known === undefined || others.length > 0 || order?.attempt !== attempt || countSends(order) !== 1) return []
     this.#byTask.delete(task)
     return known.witnesses
   }
@@ -124,7 +129,7 @@
    * @returns the orders that no connected owner knows of, and whether they may have been sent several times
    */
   listUnwitnessed (isOpen: (connection: OwnerConnection) => boolean): ReadonlyArray<{ readonly order: OutstandingOrder, readonly isRepeated: boolean }> {
-    return [...this.#byTask.values()].filter(({ witnesses }) => !witnesses.some(isOpen)).flatMap(({ orders }) => orders.map(order => ({ order, isRepeated: order.sends > 1 })))
+    return [...this.#byTask.values()].filter(({ witnesses }) => !witnesses.some(isOpen)).flatMap(({ orders }) => orders.map(order => ({ order, isRepeated: countSends(order) > 1 })))
   }
 
   /** Notes that the target refuses the attempt of a task's order, as a run of it has ended there or was stopped. */
@@ -166,6 +171,22 @@
     return [...new Set(tasks.map(task => parseTaskName(task)?.jobId).filter(jobId => jobId !== undefined))]
   }
 
+  #find (order: AnnouncedStart): CountedOrder | undefined {
+    return this.#byTask.get(order.task)?.orders.find(other => isSameOrder(other, order))
+  }
+
+  /** @returns the connections of the owners that know of the task's orders, if none is left */
+  #replace (order: CountedOrder, replacement: CountedOrder | undefined): readonly OwnerConnection[] {
+    const known = this.#byTask.get(order.task)!
+    const orders = [...known.orders.filter(other => other !== order), ...(replacement === undefined ? [] : [replacement])]
+    if (orders.length > 0) {
+      this.#byTask.set(order.task, { ...known, orders })
+      return []
+    }
+    this.#byTask.delete(order.task)
+    return known.witnesses
+  }
+
   /** Removes the orders that can't be carried out any more. */
   expire (now: number): void {
     for (const [task, { orders }] of this.#byTask) {
@@ -178,12 +199,15 @@
   return one.attempt === other.attempt && one.target === other.target
 }
 
+function countSends ({ reportedSends, sentAt = [] }: CountedOrder): number {
+  return reportedSends + sentAt.length
+}
+
 /** Adds a report, or a further send of this dispatcher, to what is known of an order. */
-function mergeOrders (known: CountedOrder, order: OutstandingOrder, sends: number): CountedOrder {
-  const isReport = order.reporters !== undefined
+function mergeOrders (known: CountedOrder, order: OutstandingOrder, reportedSends: number): CountedOrder {
   const address = order.address ?? known.address
   const isElsewhere = known.isElsewhere === true && order.isElsewhere === true
-  const reporters = isReport && known.reporters !== undefined ? [...new Set([...known.reporters, ...order.reporters])] : undefined
+  const reporters = known.reporters !== undefined && order.reporters !== undefined ? [...new Set([...known.reporters, ...order.reporters])] : undefined
   const { task, attempt, target } = known
   return {
     task,
@@ -191,7 +215,8 @@
     target,
     expiresAt: Math.max(order.expiresAt, known.expiresAt),
     // Several witnesses report the same send.
-    sends: isReport ? Math.max(known.sends, sends) : known.sends + sends,
+    reportedSends: Math.max(known.reportedSends, reportedSends),
+    sentAt: [...known.sentAt ?? [], ...order.sentAt ?? []],
     ...(address === undefined ? {} : { address }),
     ...(isElsewhere ? { isElsewhere } : {}),
     ...(reporters === undefined ? {} : { reporters })
--- a/packages/fleet/src/prometheus-metrics.ts
+++ b/packages/fleet/src/prometheus-metrics.ts
@@ -9,7 +9,7 @@
   readonly registry = new Registry()
   readonly #starts = this.#createCounter('starts_total', 'Start orders by the target\'s answer', ['answer'])
   readonly #announcementSeconds = this.#createHistogram('announcement_seconds', 'Time from the announcement of start orders to its confirmation, or until it was given up', ['outcome'])
-  readonly #outstandingOrders = this.#createCounter('outstanding_orders_total', 'Start orders that a later incarnation of their target may carry out: unanswered ones, those reported by witnesses, written to the store or read from it, tasks held and jobs given up for them', ['event'])
+  readonly #outstandingOrders = this.#createCounter('outstanding_orders_total', 'Start orders that a later incarnation of their target may carry out: unanswered ones, those answered after their timeout, reported by witnesses, written to the store or read from it, tasks held and jobs given up for them', ['event'])
   readonly #ends = this.#createCounter('run_ends_total', 'Ends of runs by kind', ['how'])
   readonly #takeovers = this.#createCounter('takeovers_total', 'Times that this instance has become a dispatcher, by cause', ['how'])
   readonly #answers = this.#createCounter('answers_total', 'Answers to callers by outcome and reason', ['outcome', 'reason'])
--- a/packages/fleet/src/run-tracker.ts
+++ b/packages/fleet/src/run-tracker.ts
@@ -8,7 +8,8 @@
 import { type StartAnnouncements } from './start-announcements.js'
 import { maxBusyWaitMs, type TargetSession } from './target-session.js'
 import { type LossEvidence } from './target-losses.js'
-import { type EndKind, type StartRejection } from './target-types.js'
+import { type EndKind, type StartRejection, type StartReply } from './target-types.js'
+import { type RunIdentity } from './unanswered-orders.js'
 
 /** Minimum time in milliseconds without progress, over several polls, after which a run counts as stalled. */
 const minStallMs = 120
@@ -79,13 +80,21 @@
 
   override onOrderUnanswered (session: TargetSession, run: Run): void {
     const { id, address } = session.info
-    const order = { task: run.task, attempt: run.attempt, target: id, address, expiresAt: run.sentAt + this.#lateOrderMs }
-    this.#state.outstanding.record(order, 1, this.#announcements.reportUnanswered(run))
+    const order = { task: run.task, attempt: run.attempt, target: id, address, expiresAt: run.sentAt + this.#lateOrderMs, sentAt: [run.sentAt] }
+    this.#state.outstanding.record(order, 0, this.#announcements.reportUnanswered(run))
     this.#events.onOrderOutstanding(order)
     this.#state.log('order', 'order-unanswered', { task: run.task, attempt: run.attempt, target: id, sentMsAgo: Math.round(this.#state.now() - run.sentAt), outstanding: this.#state.outstanding.size })
     this.#state.metrics.countOutstandingOrders('unanswered', 1)
   }
 
+  override onOrderAnsweredLate (session: TargetSession, { task, attempt }: RunIdentity, sentAt: number, reply: StartReply): void {
+    const target = session.info.id
+    for (const witness of this.#state.outstanding.settleSend({ task, attempt, target }, sentAt)) witness.send({ type: 'order-settled', task, attempt })
+    this.#state.log('order', 'order-answered-late', { task, attempt, target, sentMsAgo: Math.round(this.#state.now() - sentAt), reply: reply.kind === 'rejected' ? reply.reason : reply.kind, outstanding: this.#state.outstanding.size })
+    this.#state.metrics.countOutstandingOrders('answered-late', 1)
+    this.#events.onChange()
+  }
+
   override repeatOrder (session: TargetSession, run: Run): boolean {
     const { job, task } = this.#state.findTaskOfRun(run)
     if (job === undefined || task === undefined || this.#state.runs.get(run.task)?.run !== run) return false
--- a/packages/fleet/src/session-observer.ts
+++ b/packages/fleet/src/session-observer.ts
@@ -1,7 +1,8 @@
 import { type LossReason, type Run } from './run.js'
 import { type LossEvidence } from './target-losses.js'
 import { type TargetSession } from './target-session.js'
-import { type EndKind, type StartRejection } from './target-types.js'
+import { type EndKind, type StartRejection, type StartReply } from './target-types.js'
+import { type RunIdentity } from './unanswered-orders.js'
 
 /**
  * `seen`: the first poll of an incarnation was answered; `silent`: the target became unresponsive;
@@ -23,6 +24,12 @@
   onOrderSettled (run: Run): void {}
   /** A start order was not answered in time, or its target has restarted before the answer; it may still be carried out. */
   onOrderUnanswered (session: TargetSession, run: Run): void {}
+  /**
+   * A start order that counts as unanswered was answered after its timeout, so that this send of it has been handled.
+   *
+   * @param sentAt - monotonic time in milliseconds at which it was sent
+   */
+  onOrderAnsweredLate (session: TargetSession, run: RunIdentity, sentAt: number, reply: StartReply): void {}
   /**
    * Decides whether an order that was not answered is to be sent again, and if so arranges it.
    *
--- a/packages/fleet/src/target-session.ts
+++ b/packages/fleet/src/target-session.ts
@@ -14,7 +14,7 @@
 import { SessionRuns } from './session-runs.js'
 import { TargetClock } from './target-clock.js'
 import { TargetHealth } from './target-health.js'
-import { type PollReply, type TargetConnection, type TargetInfo, type TargetView } from './target-types.js'
+import { type PollReply, type StartReply, type TargetConnection, type TargetInfo, type TargetView } from './target-types.js'
 import { type UnansweredOrder } from './unanswered-orders.js'
 
 /** Time in milliseconds beyond the requested wait within which a target must answer a poll. */
@@ -269,7 +269,9 @@
 
   async #sendStart (run: Run, payload: string): Promise<void> {
     const token = this.#context.tokens.take(true)
-    const reply = await this.#connection.start({ task: run.task, attempt: run.attempt, payload, deadlineMs: run.startDeadlineMs, token }, this.#orderTimeout.timeoutMs)
+    const { sentAt } = run
+    const onLateReply = (reply: StartReply): void => { this.#handleLateReply(run, sentAt, reply) }
+    const reply = await this.#connection.start({ task: run.task, attempt: run.attempt, payload, deadlineMs: run.startDeadlineMs, token }, this.#orderTimeout.timeoutMs, onLateReply)
     const now = this.#clock.now()
     if (reply.kind === 'accepted') this.#orderTimeout.record(now - run.sentAt)
     // A view that lists the run shows that its only order was carried out.
@@ -306,6 +308,14 @@
     }
   }
 
+  /** A send of an order that counts as unanswered has been handled by the target. Its next view shows what became of the run. */
+  #handleLateReply (run: Run, sentAt: number, reply: StartReply): void {
+    if (this.#closed || reply.kind === 'no-answer' || reply.kind === 'not-sent') return
+    this.#context.unansweredOrders.settle(run, sentAt)
+    this.#observer.onOrderAnsweredLate(this, run, sentAt, reply)
+    this.pollNow()
+  }
+
   /**
    * The order may still be carried out, now until its deadline has passed, and in later incarnations. The same order is sent again:
    * carried out twice, it has no further effect, while one for another attempt could start a second run.
--- a/packages/fleet/src/target-types.ts
+++ b/packages/fleet/src/target-types.ts
@@ -103,7 +103,11 @@
 
 /** The connections to one target. Timeouts are in milliseconds; a call without a reply resolves to a `NoReply`. */
 export abstract class TargetConnection {
-  abstract start (order: StartOrder, timeoutMs: number): Promise<StartReply>
+  /**
+   * @param onLateReply - receives the reply if it comes after the timeout, when the result was `no-answer`, and the connection
+   *   still waits for it
+   */
+  abstract start (order: StartOrder, timeoutMs: number, onLateReply?: (reply: StartReply) => void): Promise<StartReply>
   abstract stop (order: StopOrder, timeoutMs: number): Promise<StopReply>
   abstract poll (request: PollRequest, timeoutMs: number): Promise<PollReply>
   abstract close (): void
--- a/packages/fleet/src/unanswered-orders.ts
+++ b/packages/fleet/src/unanswered-orders.ts
@@ -34,6 +34,12 @@
     this.#orders.set(order.task, { task: order.task, attempt, sentAt: order.sentAt })
   }
 
+  /** Forgets an order that was answered after all, unless it was sent again since. */
+  settle ({ task, attempt }: RunIdentity, sentAt: number): void {
+    const order = this.#orders.get(task)
+    if (order?.attempt === attempt && order.sentAt === sentAt) this.#orders.delete(task)
+  }
+
   /** @returns the orders that may still be carried out */
   list (now: number): readonly UnansweredOrder[] {
     this.#expire(now)
--- a/packages/fleet/test/dispatcher-fixture.ts
+++ b/packages/fleet/test/dispatcher-fixture.ts
@@ -20,6 +20,8 @@
   bornMs = 1
   isReachable = true
   answersStarts = true
+  /** Time in milliseconds after which the target carries a start order out and answers it. */
+  answerDelayMs = roundTripMs
   answersStops = true
   /** Clock of the test at which the target's clock was 0. */
   startedAt = 0
@@ -45,8 +47,14 @@
     this.#clock = clock
   }
 
-  override async start (order: StartOrder, timeoutMs: number): Promise<StartReply> {
+  override async start (order: StartOrder, timeoutMs: number, onLateReply: (reply: StartReply) => void = () => {}): Promise<StartReply> {
     this.#target.starts.push(order)
+    if (this.#target.answerDelayMs <= timeoutMs) return await this.#execute(order, timeoutMs)
+    this.#clock.startTimer(this.#target.answerDelayMs, () => { this.#execute(order, timeoutMs).then(onLateReply, () => {}) })
+    return await this.#resolveAfter(timeoutMs, noAnswer)
+  }
+
+  async #execute (order: StartOrder, timeoutMs: number): Promise<StartReply> {
     this.#target.leaseEndsAt = Math.max(this.#target.leaseEndsAt, order.deadlineMs)
     if (!this.#target.isReachable || !this.#target.answersStarts) return await this.#resolveAfter(timeoutMs, noAnswer)
     if (this.#target.ended.some(end => end.task === order.task && end.attempt >= order.attempt)) return await this.#resolveAfter(roundTripMs, { kind: 'rejected', reason: 'old' })
--- a/packages/transport/src/connection-pool.ts
+++ b/packages/transport/src/connection-pool.ts
@@ -1,5 +1,5 @@
 import { Client } from 'undici'
-import { type Exchange, type ExchangeResult, type HttpRequest, startExchange } from './exchange.js'
+import { type ConnectionExchange, type Exchange, type ExchangeResult, type HttpRequest, startExchange } from './exchange.js'
 
 export interface ConnectionPoolOptions {
   /** `IP:PORT` of the server. */
@@ -17,6 +17,11 @@
   readonly sendTimeoutMs?: number
   /** Time in milliseconds after which the pool stops waiting for the reply. */
   readonly replyTimeoutMs: number
+  /**
+   * Receives a reply that comes after the timeout, with the time in milliseconds for which it is waited for. The connection is
+   * kept meanwhile, unless another request needs it.
+   */
+  readonly lateReply?: { readonly timeoutMs: number, readonly onReply: (reply: Extract<ExchangeResult, { kind: 'replied' }>) => void }
   /** Whether to open a new connection, because an existing one may be unresponsive. */
   readonly needsNewConnection?: boolean
 }
@@ -38,6 +43,8 @@
   readonly #options: ConnectionPoolOptions
   readonly #idle: Client[] = []
   readonly #busy = new Set<Client>()
+  /** Busy connections on which only a late reply is waited for, the oldest first. */
+  readonly #late = new Map<Client, ConnectionExchange>()
   readonly #queue: QueuedRequest[] = []
   #isClosed = false
 
@@ -86,7 +93,7 @@
     } catch (error) {
       return endUnsent(error instanceof Error ? error.message : String(error))
     }
-    if (client !== undefined) return this.#startOn(client, request, options.sendTimeoutMs ?? options.replyTimeoutMs, options.replyTimeoutMs)
+    if (client !== undefined) return this.#startOn(client, request, options, 0)
     return this.#enqueue(request, options)
   }
 
@@ -102,7 +109,7 @@
 
   #acquire (needsNewConnection: boolean): Client | undefined {
     const limit = needsNewConnection ? this.#options.maxConnections : this.#options.maxConnections - this.#options.reservedConnections
-    if (this.#busy.size >= limit) return undefined
+    if (this.#busy.size >= limit && !this.#giveUpLateReply()) return undefined
     if (!needsNewConnection) {
       while (this.#idle.length > 0) {
         const client = this.#idle.pop()!
@@ -120,23 +127,48 @@
     })
   }
 
-  #startOn (client: Client, request: HttpRequest, sendTimeoutMs: number, replyTimeoutMs: number): Exchange {
+  /** @returns whether there was a connection on which only a late reply was waited for */
+  #giveUpLateReply (): boolean {
+    const [oldest] = this.#late
+    if (oldest === undefined) return false
+    const [client, exchange] = oldest
+    this.#late.delete(client)
+    this.#busy.delete(client)
+    exchange.abort('the connection is needed')
+    return true
+  }
+
+  /** @param waitedMs - time in milliseconds that the request has waited for the connection */
+  #startOn (client: Client, request: HttpRequest, { sendTimeoutMs, replyTimeoutMs, lateReply }: SendOptions, waitedMs: number): Exchange {
     this.#busy.add(client)
-    const exchange = startExchange(client, request, sendTimeoutMs, replyTimeoutMs, this.#options.maxReplyBytes)
+    const timeouts = { sendMs: Math.max(0, (sendTimeoutMs ?? replyTimeoutMs) - waitedMs), replyMs: Math.max(0, replyTimeoutMs - waitedMs), lateReplyMs: lateReply?.timeoutMs ?? 0 }
+    const exchange = startExchange(client, request, timeouts, this.#options.maxReplyBytes)
     const result = exchange.result.then(result => {
-      this.#release(client, result)
+      if (result.kind === 'lost' && result.timedOutWithoutData) this.#closeIdle()
+      if (!exchange.awaitsLateReply()) {
+        this.#release(client, result.kind === 'replied')
+        return result
+      }
+      this.#late.set(client, exchange)
+      this.#startQueued()
+      exchange.ended.then(reply => {
+        if (this.#late.delete(client)) this.#release(client, reply !== undefined)
+        if (reply !== undefined) lateReply?.onReply(reply)
+      }, () => {})
       return result
     })
     return { result, abort: exchange.abort }
   }
 
-  #release (client: Client, result: ExchangeResult): void {
+  #release (client: Client, isReusable: boolean): void {
     this.#busy.delete(client)
-    if (result.kind !== 'replied' || this.#isClosed) client.destroy().catch(() => {})
+    if (!isReusable || this.#isClosed) client.destroy().catch(() => {})
     else if (!client.destroyed) this.#idle.push(client)
-    if (result.kind === 'lost' && result.timedOutWithoutData) {
-      for (const idle of this.#idle.splice(0)) idle.destroy().catch(() => {})
-    }
+    this.#startQueued()
+  }
+
+  /** Starts queued requests while there are connections for them. */
+  #startQueued (): void {
     while (this.#queue.length > 0) {
       const next = this.#isClosed ? undefined : this.#acquire(this.#queue[0]!.needsNewConnection)
       if (next === undefined) break
@@ -144,6 +176,11 @@
     }
   }
 
+  /** Closes the idle connections after a request without a reply, as they may be unresponsive as well. */
+  #closeIdle (): void {
+    for (const idle of this.#idle.splice(0)) idle.destroy().catch(() => {})
+  }
+
   #enqueue (request: HttpRequest, options: SendOptions): Exchange {
     const queuedAt = performance.now()
     const sendTimeoutMs = options.sendTimeoutMs ?? options.replyTimeoutMs
@@ -155,7 +192,7 @@
         start: client => {
           clearTimeout(timer)
           const waitedMs = performance.now() - queuedAt
-          startedExchange = this.#startOn(client, request, Math.max(0, sendTimeoutMs - waitedMs), Math.max(0, options.replyTimeoutMs - waitedMs))
+          startedExchange = this.#startOn(client, request, options, waitedMs)
           startedExchange.result.then(resolve, () => {})
         }
       }
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -17,6 +17,16 @@
   | { readonly kind: 'not-sent', readonly message: string }
   | { readonly kind: 'lost', readonly message: string, /** Whether the reply timed out before any byte of it was received. */ readonly timedOutWithoutData: boolean }
 
+/** How long an exchange waits for the parts of its course. Times in milliseconds, counted from its start. */
+export interface ExchangeTimeouts {
+  /** Time after which the request is no longer written. */
+  readonly sendMs: number
+  /** Time after which the result is no longer waited for. */
+  readonly replyMs: number
+  /** Time after that for which a late reply is still received; 0 to close the connection at once. */
+  readonly lateReplyMs: number
+}
+
 /** A request in progress. */
 export interface Exchange {
   readonly result: Promise<ExchangeResult>
@@ -24,6 +34,17 @@
   readonly abort: (message: string) => void
 }
 
+/** A request in progress on one connection. */
+export interface ConnectionExchange extends Exchange {
+  /**
+   * Resolves when the connection carries no exchange any more: at once after the result, unless a late reply is waited for; with
+   * that reply if it came.
+   */
+  readonly ended: Promise<Extract<ExchangeResult, { kind: 'replied' }> | undefined>
+  /** Whether the result has timed out and a late reply is waited for. */
+  readonly awaitsLateReply: () => boolean
+}
+
 /** Size limit of a reply body in bytes, unless the caller sets a lower one. */
 export const defaultMaxReplyBytes = 64 * 1024 * 1024
 
@@ -32,28 +53,31 @@
  *
  * @param client - the connection; it is destroyed when the exchange times out or is aborted
  * @param request - the request to send
- * @param sendTimeoutMs - time in milliseconds after which the request is no longer written
- * @param replyTimeoutMs - time in milliseconds after which the exchange stops waiting for the reply
  * @param maxReplyBytes - size in bytes beyond which a reply body is not read and counts as lost
  * @returns the exchange; its result never rejects
  */
-export function startExchange (client: Client, request: HttpRequest, sendTimeoutMs: number, replyTimeoutMs: number, maxReplyBytes = defaultMaxReplyBytes): Exchange {
-  const handler = new ExchangeHandler(client, sendTimeoutMs, replyTimeoutMs, maxReplyBytes)
+export function startExchange (client: Client, request: HttpRequest, timeouts: ExchangeTimeouts, maxReplyBytes = defaultMaxReplyBytes): ConnectionExchange {
+  const handler = new ExchangeHandler(client, timeouts, maxReplyBytes)
   try {
     const headers = request.body === undefined ? { ...request.headers } : { 'content-type': 'application/json', ...request.headers }
     client.dispatch({ method: request.method, path: request.path, headers, body: request.body ?? null, idempotent: false }, handler)
   } catch (error) {
     handler.abort(error instanceof Error ? error.message : String(error))
   }
-  return { result: handler.result, abort: message => { handler.abort(message) } }
+  return { result: handler.result, ended: handler.ended, awaitsLateReply: () => handler.awaitsLateReply, abort: message => { handler.abort(message) } }
 }
 
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly result: Promise<ExchangeResult>
+  readonly ended: ConnectionExchange['ended']
   readonly #client: Client
   readonly #maxReplyBytes: number
+  readonly #lateReplyMs: number
   #resolveResult!: (result: ExchangeResult) => void
+  #resolveEnded!: (reply: Extract<ExchangeResult, { kind: 'replied' }> | undefined) => void
   #isFinished = false
+  /** Ends the wait for a late reply; undefined while there is none. */
+  #lateTimer: NodeJS.Timeout | undefined
   /** Set immediately before the request is written; while it is false, no byte has been sent. */
   #isSent = false
   #responseStarted = false
@@ -64,20 +88,25 @@
   #sendTimer: NodeJS.Timeout | undefined
   readonly #replyTimer: NodeJS.Timeout
 
-  constructor (client: Client, sendTimeoutMs: number, replyTimeoutMs: number, maxReplyBytes: number) {
+  constructor (client: Client, { sendMs, replyMs, lateReplyMs }: ExchangeTimeouts, maxReplyBytes: number) {
     this.#client = client
     this.#maxReplyBytes = maxReplyBytes
+    this.#lateReplyMs = lateReplyMs
     this.result = new Promise(resolve => { this.#resolveResult = resolve })
-    this.#replyTimer = setTimeout(() => { this.#endUnlessReceived('no reply', replyTimeoutMs) }, replyTimeoutMs)
-    if (sendTimeoutMs < replyTimeoutMs) {
-      this.#sendTimer = setTimeout(() => { if (!this.#isSent) this.#onTimeout('no connection', sendTimeoutMs) }, sendTimeoutMs)
+    this.ended = new Promise(resolve => { this.#resolveEnded = resolve })
+    this.#replyTimer = setTimeout(() => { this.#endUnlessReceived('no reply', replyMs) }, replyMs)
+    if (sendMs < replyMs) {
+      this.#sendTimer = setTimeout(() => { if (!this.#isSent) this.#onTimeout('no connection', sendMs) }, sendMs)
     }
   }
 
+  get awaitsLateReply (): boolean { return this.#lateTimer !== undefined }
+
   abort (message: string): void {
-    // Once finished, the connection may already carry another exchange.
-    if (this.#isFinished) return
+    // Once ended, the connection may already carry another exchange.
+    if (this.#isFinished && !this.awaitsLateReply) return
     this.#fail(message, false)
+    this.#end(undefined)
     this.#client.destroy().catch(() => {})
   }
 
@@ -107,11 +136,14 @@
 
   onResponseEnd (): void {
     const text = this.#chunks.length === 1 ? this.#chunks[0]!.toString('utf8') : Buffer.concat(this.#chunks).toString('utf8')
-    this.#finish({ kind: 'replied', status: this.#status, text, ...(this.#etag === undefined ? {} : { etag: this.#etag }) })
+    const reply = { kind: 'replied', status: this.#status, text, ...(this.#etag === undefined ? {} : { etag: this.#etag }) } as const
+    this.#finish(reply)
+    this.#end(reply)
   }
 
   onResponseError (controller: Dispatcher.DispatchController, error: Error): void {
     this.#fail(error.message, false)
+    this.#end(undefined)
   }
 
   /** Ends the exchange after the event loop has read all sockets: while this process was busy, the reply may have arrived. */
@@ -120,7 +152,11 @@
   }
 
   #onTimeout (missing: string, afterMs: number): void {
-    this.#fail(`${missing} within ${Math.round(afterMs)} ms`, this.#isSent && !this.#responseStarted)
+    const message = `${missing} within ${Math.round(afterMs)} ms`
+    if (this.#isSent && this.#lateReplyMs > 0) this.#lateTimer = setTimeout(() => { this.abort(message) }, this.#lateReplyMs)
+    this.#fail(message, this.#isSent && !this.#responseStarted)
+    if (this.awaitsLateReply) return
+    this.#end(undefined)
     this.#client.destroy().catch(() => {})
   }
 
@@ -135,4 +171,10 @@
     clearTimeout(this.#sendTimer)
     this.#resolveResult(result)
   }
+
+  #end (reply: Extract<ExchangeResult, { kind: 'replied' }> | undefined): void {
+    clearTimeout(this.#lateTimer)
+    this.#lateTimer = undefined
+    this.#resolveEnded(reply)
+  }
 }
