--- a/packages/fleet/src/order-recorder.ts
+++ b/packages/fleet/src/order-recorder.ts
@@ -96,7 +96,7 @@
     this.#isClosed = true
   }
 
-  /** Records an order, unless it was recorded a moment ago. */
+  /** Records an outstanding order, unless it was recorded a moment ago. */
   add (order: AnnouncedStart): void {
     const key = formatIdentity(order)
     const now = this.#options.clock.now()
@@ -142,6 +142,7 @@
 
   #writeIfDue (now: number): void {
     if (this.#isClosed || this.#writing !== undefined || now < this.#mayWriteAt) return
+    for (const [key, order] of this.#pending) if (!this.#options.isOutstanding(order)) this.#pending.delete(key)
     const isRemovalDue = now >= this.#mayWriteAt + removalDelayMs && this.#listRemovable(now).length > 0
     if (this.#pending.size > 0 || isRemovalDue) this.#write().catch((error: unknown) => { this.#options.log.logError('order-recorder', error) })
   }
