Order record: repeat a refused write of a planned stop, and count suspensions in the life of a row

A write that the store refused dropped orders whose answers were open, as they don't count as outstanding yet; the process that ends tries again for 400 ms now. A row's end of life was computed by the clock that stands still while the machine is suspended. A witness looks for orders to take back only after it has lost a connection.

all-processes-forget-unanswered-orders has the refused write as a case; it failed before.

--- a/packages/emulator/test/all-processes-forget-unanswered-orders.test.ts
+++ b/packages/emulator/test/all-processes-forget-unanswered-orders.test.ts
@@ -19,13 +19,21 @@
   'lose power': (fleet, instance) => { fleet.powerOffInstance(instance) }
 }
 
-/** Stops all instances as planned, at once, so that none has a successor; an order that was sent just before has not timed out by then. */
-async function stopAllAsPlanned (fleet: EmulatedFleet): Promise<void> {
+/**
+ * Stops all instances as planned, at once, so that none has a successor; an order that was sent just before has not timed out by then.
+ *
+ * @param refusedMs - time in milliseconds for which the store refuses what they write then
+ */
+async function stopAllAsPlanned (fleet: EmulatedFleet, refusedMs: number): Promise<void> {
   const instances = [...fleet.instances]
   for (const [, { process, election }] of instances) process.receive(() => { election.leave().catch(() => {}) })
   await fleet.advance(30)
+  if (refusedMs > 0) fleet.store.fault = 'down'
   for (const [, { process, election }] of instances) process.receive(() => { election.retire().catch(() => {}) })
-  await fleet.advance(50)
+  await fleet.advance(refusedMs)
+  fleet.store.fault = 'none'
+  // The processes try for 400 ms.
+  await fleet.advance(refusedMs > 0 ? 400 : 50)
   for (const [name] of instances) fleet.killInstance(name)
 }
 
@@ -65,18 +73,20 @@
     }
   }
 
-  it('is not followed by a start elsewhere when all instances are stopped as planned right after the order, at once', async () => {
-    for (const seed of [1, 2, 3]) {
-      const play = await startWithLateOrder(seed, ['a', 'b'])
-      const { fleet, target } = play
-      const instances = [...fleet.instances].map(([name, { entry }]) => ({ name, domain: entry.domain }))
-      fleet.network.partition([target], instances.map(({ name }) => name))
-      await stopAllAsPlanned(fleet)
-      await fleet.advance(downMs)
-      for (const { name, domain } of instances) fleet.startInstance(name, domain)
-      await repeatAndRestart(play, 'b')
-    }
-  })
+  for (const refusedMs of [0, 100]) {
+    it(`is not followed by a start elsewhere when all instances are stopped as planned right after the order, at once, and the store refuses their writes for ${refusedMs} ms`, async () => {
+      for (const seed of [1, 2, 3]) {
+        const play = await startWithLateOrder(seed, ['a', 'b'])
+        const { fleet, target } = play
+        const instances = [...fleet.instances].map(([name, { entry }]) => ({ name, domain: entry.domain }))
+        fleet.network.partition([target], instances.map(({ name }) => name))
+        await stopAllAsPlanned(fleet, refusedMs)
+        await fleet.advance(downMs)
+        for (const { name, domain } of instances) fleet.startInstance(name, domain)
+        await repeatAndRestart(play, 'b')
+      }
+    })
+  }
 
   it('is not followed by a start elsewhere when the store is away for the first 2 s after the order, and all instances are killed then', async () => {
     for (const seed of [1, 2, 3]) {
--- a/packages/fleet/src/order-recorder.ts
+++ b/packages/fleet/src/order-recorder.ts
@@ -72,7 +72,7 @@
   /** Monotonic times in milliseconds at which orders were recorded, in ascending order. */
   readonly #recordedAt = new Map<string, number>()
   readonly #rows = new Map<string, KnownRow>()
-  /** Difference in milliseconds of the store's clock to the local one; undefined until it is known. */
+  /** Difference in milliseconds of the store's clock to the local one that counts suspensions; undefined until it is known. */
   #storeLeadMs: number | undefined
   #isRead = false
   #isClosed = false
@@ -156,7 +156,7 @@
     const { store, clock, domain, lateOrderMs, writer } = this.#options
     const beganAt = clock.now()
     const lifeMs = lateOrderMs + refreshMs
-    const expiresMs = this.#storeLeadMs === undefined ? undefined : Math.ceil(beganAt + this.#storeLeadMs + lifeMs)
+    const expiresMs = this.#storeLeadMs === undefined ? undefined : Math.ceil(clock.readElapsed() + this.#storeLeadMs + lifeMs)
     const rows = encodeOrderRows(domain, expiresMs, [...this.#pending.values()]).filter(({ orders }) => orders.length > 0).slice(0, maxRowsPerCall)
       .map(({ text, orders }) => ({ key: formatOrderKey(domain, writer, ++this.#sequence), value: text, orders }))
     const removed = this.#listRemovable(beganAt).slice(0, maxRowsPerCall)
@@ -180,7 +180,8 @@
   }
 
   #requeue (order: AnnouncedStart): void {
-    if (this.#options.isOutstanding(order)) this.#pending.set(formatIdentity(order), order)
+    // A dispatcher that ends also records orders whose answers are open.
+    if (this.#isClosed || this.#options.isOutstanding(order)) this.#pending.set(formatIdentity(order), order)
   }
 
   #listRemovable (now: number): readonly string[] {
@@ -192,22 +193,23 @@
     const { store, clock } = this.#options
     const backoff = new Backoff(minRetryDelayMs, maxRetryDelayMs)
     while (!this.#isClosed) {
-      const sentAt = clock.now()
+      const sentElapsed = clock.readElapsed()
       const reply = await store.list(orderTable)
       if (this.#isClosed) return
       if (reply.kind === 'rows') {
-        this.#handleRows(reply, sentAt)
+        this.#handleRows(reply, sentElapsed)
         return
       }
       await this.#pause(backoff.takePauseMs())
     }
   }
 
-  #handleRows (reply: Extract<RowsReply, { kind: 'rows' }>, sentAt: number): void {
+  /** @param sentElapsed - time at which the rows were requested, by the clock that counts suspensions */
+  #handleRows (reply: Extract<RowsReply, { kind: 'rows' }>, sentElapsed: number): void {
     const { clock, domain, lateOrderMs, log, metrics, onRead } = this.#options
     const now = clock.now()
     // The store has read its clock after the call was sent, so this is at most too high: orders are kept for longer, not for less.
-    if (reply.nowMs !== undefined) this.#storeLeadMs = reply.nowMs - sentAt
+    if (reply.nowMs !== undefined) this.#storeLeadMs = reply.nowMs - sentElapsed
     const rows = reply.rows.map(parseOrderRow).filter(row => row !== undefined)
     const recorded: RecordedOrder[] = []
     for (const row of rows) {
@@ -217,7 +219,7 @@
     }
     this.#isRead = true
     metrics.countOutstandingOrders('read', recorded.length)
-    log.log('belief', 'recorded-orders-read', { domain, rows: reply.rows.length, unreadable: reply.rows.length - rows.length, orders: recorded.length, elsewhere: recorded.filter(order => order.domain !== domain).length, tookMs: Math.round(now - sentAt) })
+    log.log('belief', 'recorded-orders-read', { domain, rows: reply.rows.length, unreadable: reply.rows.length - rows.length, orders: recorded.length, elsewhere: recorded.filter(order => order.domain !== domain).length, tookMs: Math.round(clock.readElapsed() - sentElapsed) })
     onRead(recorded)
   }
 
--- a/packages/fleet/src/order-witness.ts
+++ b/packages/fleet/src/order-witness.ts
@@ -32,6 +32,8 @@
   readonly #announced = new Map<string, Map<number, AnnouncedOrders>>()
   /** Orders that got no answer, or whose dispatcher's connection has ended since; in the order in which they were kept. */
   readonly #kept = new Set<KeptOrder>()
+  /** Domains whose dispatcher was not connected for a while, so that orders of it were kept that may have been answered. */
+  readonly #lostDomains = new Set<string>()
 
   /** @param lateOrderMs - time in milliseconds after which an unanswered order can no longer be carried out */
   constructor (lateOrderMs: number) {
@@ -81,8 +83,11 @@
       if (announced > sequence) break
       ofDomain!.delete(announced)
     }
-    const settled = [...this.#kept].filter(order => order.domain === domain && order.token === token && !order.isUnanswered && (order.sequence ?? Infinity) <= sequence)
+    if (!this.#lostDomains.has(domain)) return []
+    const doubtful = [...this.#kept].filter(order => order.domain === domain && order.token === token && order.sequence !== undefined && !order.isUnanswered)
+    const settled = doubtful.filter(order => order.sequence! <= sequence)
     for (const order of settled) this.#kept.delete(order)
+    if (settled.length === doubtful.length) this.#lostDomains.delete(domain)
     return settled
   }
 
@@ -90,6 +95,7 @@
   keepAll (domain: string): void {
     for (const orders of this.#announced.get(domain)?.values() ?? []) for (const order of orders) this.#kept.add(order)
     this.#announced.delete(domain)
+    this.#lostDomains.add(domain)
   }
 
   /** @returns the orders of a domain that may be outstanding, apart from those of the dispatcher with the given token */
